Grant again to routers that were idle or cut off, and offer only standing queues elsewhere

The metrics showed 714 of 1031 grants of one dispatcher reclaimed unanswered. A router whose rows were dropped after 3 s of silence was numbered from one again, so it took new grants for old ones; and its reports, which left out rows acknowledged before, were refused for ever. Also found: token counts starved while reports were frequent, three dispatchers granted the same single waiting request, and a plain answer counted as waiting until its end.

Ruled out: the slow-engine rule (it fired, but as a consequence of slots held by those grants).

--- a/crates/conf/src/ini/section.rs
+++ b/crates/conf/src/ini/section.rs
@@ -76,13 +76,11 @@
     /// Takes a text; a missing one is a finding.
     #[must_use]
     pub fn text(&mut self, key: &str, findings: &mut Findings) -> String {
-        match self.take(key) {
-            Some(entry) => entry.value,
-            None => {
-                findings.add(self.line, format!("[{}] lacks '{key}'", self.title));
-                String::new()
-            }
+        if let Some(entry) = self.take(key) {
+            return entry.value;
         }
+        findings.add(self.line, format!("[{}] lacks '{key}'", self.title));
+        String::new()
     }
 
     /// Takes a parsed value, or the default where the key is missing.
@@ -196,7 +194,7 @@
     match text[digits..].trim() {
         "ms" => Some(Duration::from_millis(count)),
         "s" => Some(Duration::from_secs(count)),
-        "m" => Some(Duration::from_secs(count * 60)),
+        "m" => Some(Duration::from_mins(count)),
         _ => None,
     }
 }
--- a/crates/conf/src/settings/router.rs
+++ b/crates/conf/src/settings/router.rs
@@ -131,7 +131,7 @@
             findings,
         ),
         drain_notice: router.time("drain_notice", Duration::from_secs(1), findings),
-        queue_timeout: router.time("queue_timeout", Duration::from_secs(120), findings),
+        queue_timeout: router.time("queue_timeout", Duration::from_mins(2), findings),
         connections: router.value("connections", 2048, "a number", findings),
         body_bytes: router.value("body_bytes", 1024 * 1024, "a number of bytes", findings),
         head_timeout: router.time("head_timeout", Duration::from_secs(5), findings),
@@ -184,13 +184,11 @@
         return key;
     }
     for (index, byte) in key.iter_mut().enumerate() {
-        match u8::from_str_radix(&text[index * 2..index * 2 + 2], 16) {
-            Ok(value) => *byte = value,
-            Err(_) => {
-                findings.add(line, "'fleet_key' is not 64 hexadecimal digits");
-                return key;
-            }
-        }
+        let Ok(value) = u8::from_str_radix(&text[index * 2..index * 2 + 2], 16) else {
+            findings.add(line, "'fleet_key' is not 64 hexadecimal digits");
+            return key;
+        };
+        *byte = value;
     }
     key
 }
--- a/crates/entry/src/config/watcher.rs
+++ b/crates/entry/src/config/watcher.rs
@@ -69,14 +69,14 @@
         );
         return Ok(());
     };
-    let Some(content) = context.platform.get(&object_key(&head.digest))? else {
+    let Some(bytes) = context.platform.get(&object_key(&head.digest))? else {
         log::error!(
             "the configuration {} is not in the object store",
             head.digest
         );
         return Ok(());
     };
-    let text = String::from_utf8_lossy(&content).into_owned();
+    let text = String::from_utf8_lossy(&bytes).into_owned();
     take(context, row.version, &head.digest, &text);
     Ok(())
 }
--- a/crates/entry/src/control/dispatching.rs
+++ b/crates/entry/src/control/dispatching.rs
@@ -212,6 +212,7 @@
         for status in dispatchers.map(Dispatcher::status) {
             sum.slots += status.slots;
             sum.free += status.free;
+            sum.slow_engines += status.slow_engines;
             sum.waiting += status.waiting;
             sum.granted += status.granted;
             sum.granted_remote += status.granted_remote;
@@ -492,6 +493,7 @@
         workspaces: rows.into_values().collect(),
         streams: parts.streams.rows(id),
         engines,
+        is_home,
     }
 }
 
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,7 +1,6 @@
 //! The control thread: queues, roles, grants and peer messages.
 
 mod command;
-mod control;
 mod dispatching;
 mod health;
 mod outbox;
@@ -10,9 +9,10 @@
 mod queue;
 mod socket;
 mod streams;
+mod thread;
 
 pub use {
     command::{Arrival, Command, Ended, Go, Outcome, StreamId, Turn, TurnDenied},
-    control::Control,
     socket::PeerSocket,
+    thread::Control,
 };
--- a/crates/entry/src/control/outbox.rs
+++ b/crates/entry/src/control/outbox.rs
@@ -70,10 +70,13 @@
         }
     }
 
-    /// Adds a message to every peer.
-    pub fn add_to_all(&mut self, message: &Message) {
+    /// Adds a message to every peer of this host's failure domain, or of the others.
+    pub fn add_to_peers(&mut self, same_domain: bool, message: &Message) {
+        let own_domain = self.own_domain;
         for peer in self.peers.values_mut() {
-            peer.waiting.push(message.clone());
+            if (peer.domain == own_domain) == same_domain {
+                peer.waiting.push(message.clone());
+            }
         }
     }
 
--- a/crates/entry/src/control/queue.rs
+++ b/crates/entry/src/control/queue.rs
@@ -14,7 +14,7 @@
 /// Weight of the newest departure in a workspace's pace.
 const PACE_GAIN: f64 = 0.2;
 const SHORTEST_RETRY_AFTER: Duration = Duration::from_secs(1);
-const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(120);
+const LONGEST_RETRY_AFTER: Duration = Duration::from_mins(2);
 
 /// Waiting requests by class.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -73,16 +73,19 @@
         is_cached: impl Fn(u32) -> bool,
     ) -> Option<Arrival> {
         let lane = self.lanes.get_mut(&(model, workspace))?;
-        let (rank, line) = lane.ranks.iter_mut().find(|(_, line)| !line.is_empty())?;
+        let (rank, requests) = lane
+            .ranks
+            .iter_mut()
+            .find(|(_, requests)| !requests.is_empty())?;
         if urgent_only && *rank > 0 {
             return None;
         }
-        let index = line
+        let index = requests
             .iter()
             .take(PREFIX_REACH)
             .position(|arrival| is_cached(arrival.prefix))
             .unwrap_or(0);
-        let arrival = line.remove(index)?;
+        let arrival = requests.remove(index)?;
         self.depart(now, workspace);
         Some(arrival)
     }
--- a/crates/entry/src/control/socket.rs
+++ b/crates/entry/src/control/socket.rs
@@ -86,11 +86,13 @@
         let packet = self
             .codec
             .decode(datagram)
-            .map_err(|error| error.reason())?;
+            .map_err(baobab_wire::WireError::reason)?;
         if packet.receiver != own {
             return Err("misdirected");
         }
-        guard.accept(&packet).map_err(|error| error.reason())?;
+        guard
+            .accept(&packet)
+            .map_err(baobab_wire::WireError::reason)?;
         Ok(packet)
     }
 }
--- a/crates/entry/src/control/control.rs
+++ b/crates/entry/src/control/thread.rs
@@ -25,8 +25,10 @@
 
 /// Longest time between two rounds of decisions.
 const ROUND: Duration = Duration::from_millis(10);
-/// Time between two signs of life.
-const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Time between two signs of life to hosts of the same failure domain.
+const NEAR_HEARTBEAT: Duration = Duration::from_millis(250);
+/// Time between two signs of life to hosts of other failure domains.
+const FAR_HEARTBEAT: Duration = Duration::from_secs(1);
 /// Time between two updates of the gauges.
 const GAUGES: Duration = Duration::from_millis(500);
 /// Time between two rounds after which the process must have been paused.
@@ -43,7 +45,8 @@
     health: Health,
     dispatching: Dispatching,
     in_force: Option<Arc<InForce>>,
-    heartbeat_due: Duration,
+    near_heartbeat_due: Duration,
+    far_heartbeat_due: Duration,
     gauges_due: Duration,
     last_round: Duration,
 }
@@ -85,7 +88,8 @@
             streams: Streams::default(),
             health: Health::new(),
             in_force: None,
-            heartbeat_due: Duration::ZERO,
+            near_heartbeat_due: Duration::ZERO,
+            far_heartbeat_due: Duration::ZERO,
             gauges_due: Duration::ZERO,
             last_round: context.clock.now(),
             watcher,
@@ -248,17 +252,12 @@
         self.membership
             .set_draining(id_of(&self.context.conf.host), true);
         // Peers take the roles over as soon as they hear of it.
-        self.heartbeat_due = Duration::ZERO;
+        self.near_heartbeat_due = Duration::ZERO;
+        self.far_heartbeat_due = Duration::ZERO;
     }
 
     fn round(&mut self, now: Duration) {
-        if now >= self.heartbeat_due {
-            self.heartbeat_due = now + HEARTBEAT;
-            self.outbox.add_to_all(&Message::Heartbeat(Heartbeat {
-                config_version: self.context.config.version(),
-                draining: self.context.draining.load(Ordering::Relaxed),
-            }));
-        }
+        self.send_heartbeats(now);
         self.streams.count_progress();
         let started = self.dispatching.round(
             now,
@@ -284,6 +283,21 @@
         }
     }
 
+    fn send_heartbeats(&mut self, now: Duration) {
+        let heartbeat = Message::Heartbeat(Heartbeat {
+            config_version: self.context.config.version(),
+            draining: self.context.draining.load(Ordering::Relaxed),
+        });
+        if now >= self.near_heartbeat_due {
+            self.near_heartbeat_due = now + NEAR_HEARTBEAT;
+            self.outbox.add_to_peers(true, &heartbeat);
+        }
+        if now >= self.far_heartbeat_due {
+            self.far_heartbeat_due = now + FAR_HEARTBEAT;
+            self.outbox.add_to_peers(false, &heartbeat);
+        }
+    }
+
     fn show(&self) {
         let metrics = &self.context.metrics;
         metrics.waiting.set(i64::from(self.queue.waiting()));
@@ -293,6 +307,7 @@
         let figures = [
             ("slots", u64::from(status.slots)),
             ("free", u64::from(status.free)),
+            ("slow_engines", u64::from(status.slow_engines)),
             ("waiting", u64::from(status.waiting)),
             ("granted", status.granted),
             ("granted_remote", status.granted_remote),
--- a/crates/fair/src/dispatcher.rs
+++ b/crates/fair/src/dispatcher.rs
@@ -8,7 +8,8 @@
         engines::Engines,
         peers::Peers,
         ranking::{Candidate, Choice, Offer, Ranking},
-        routers::{Routers, Tally},
+        routers::{RouterView, Routers, Tally},
+        standing::Standing,
         told::Told,
     },
     baobab_unit::{HostId, Incarnation, ModelId, PoolId, Sequence, Token, WorkspaceId},
@@ -50,6 +51,8 @@
     pub slots: u32,
     /// Free ones among them.
     pub free: u32,
+    /// Engines that are given fewer streams because they are slow.
+    pub slow_engines: u32,
     /// Requests waiting in the pool's own domain.
     pub waiting: u32,
     /// Grants given.
@@ -77,6 +80,7 @@
     ledger: Ledger,
     backlogs: Backlogs,
     told: Told,
+    standing: Standing,
     news_number: Sequence,
     status: DispatcherStatus,
     pending: Vec<Action>,
@@ -107,6 +111,7 @@
             ledger: Ledger::default(),
             backlogs: Backlogs::default(),
             told: Told::default(),
+            standing: Standing::default(),
             news_number: 0,
             status: DispatcherStatus::default(),
             pending: Vec::new(),
@@ -142,15 +147,9 @@
         incarnation: Incarnation,
         report: &Report,
     ) {
-        let count_first = now >= self.started + NEW_FOR;
-        let growth = self.routers.apply(
-            now,
-            from,
-            incarnation,
-            report,
-            self.incarnation,
-            count_first,
-        );
+        let growth = self
+            .routers
+            .apply(now, from, incarnation, report, self.incarnation);
         let Some(growth) = growth else {
             return;
         };
@@ -205,6 +204,7 @@
         let reclaimed = self.routers.reclaim(now, self.tuning.grant_reclaim);
         self.status.reclaimed += u64::from(reclaimed);
         self.engines.measure(now, &self.routers);
+        self.standing.update(now, self.routers.tallies());
         if now >= self.started + self.tuning.settle {
             self.grant_slots(now);
         }
@@ -220,6 +220,7 @@
         DispatcherStatus {
             slots: self.engines.slots_total(),
             free: self.engines.free_total(&self.routers),
+            slow_engines: self.engines.slow_total(),
             waiting: self
                 .routers
                 .tallies()
@@ -347,7 +348,11 @@
     }
 
     fn local_offers(&self) -> impl Iterator<Item = (WorkspaceId, Offer)> + '_ {
-        self.routers.views().flat_map(|(router, view)| {
+        let responsive = self
+            .routers
+            .views()
+            .filter(|(_, view)| !view.is_unresponsive());
+        responsive.flat_map(|(router, view)| {
             view.workspaces()
                 .filter(|row| row.waiting + row.waiting_urgent > 0)
                 .map(move |row| {
@@ -359,14 +364,20 @@
     }
 
     fn remote_offers(&self) -> impl Iterator<Item = (WorkspaceId, Offer)> + '_ {
-        self.peers.waiting(self.model).map(|(pool, entry)| {
-            let row = entry.row;
+        let is_responsive = |router| {
+            let view = self.routers.view(router);
+            !view.is_some_and(RouterView::is_unresponsive)
+        };
+        let waiting = self.peers.waiting(self.pool, self.model);
+        let reachable = waiting.filter(move |waiting| is_responsive(waiting.entry.row.router));
+        reachable.map(|waiting| {
+            let row = waiting.entry.row;
             let offer = offer(
                 row.router,
-                Some(pool),
-                row.waiting_urgent,
-                row.waiting,
-                entry.taken,
+                Some(waiting.pool),
+                waiting.part.of(row.waiting_urgent),
+                waiting.part.of(row.waiting),
+                waiting.entry.taken,
             );
             (row.workspace, offer)
         })
@@ -393,10 +404,10 @@
         let pool = self.pool;
         for (host, view) in self.routers.views_mut() {
             let grants = view.due_grants(now, repeat, valid);
-            let answer_due = view.take_answer_due();
-            if grants.is_empty() && !answer_due {
+            if grants.is_empty() && !view.is_answer_due(now, self.tuning.answer_delay) {
                 continue;
             }
+            view.answered();
             actions.push(Action::Grants {
                 to: host,
                 grants: Grants {
@@ -452,13 +463,14 @@
             .iter()
             .filter_map(|(workspace, tally)| {
                 let weight = f64::from(*self.weights.get(workspace)?);
+                let standing = self.standing.of(*workspace);
                 let row = NewsRow {
                     workspace: *workspace,
                     tokens: self.ledger.tokens(self.pool, *workspace),
                     lift: self.ledger.lift(*workspace),
                     running: tally.running + tally.outstanding,
-                    waiting_urgent: tally.waiting_urgent,
-                    waiting: tally.waiting,
+                    waiting_urgent: standing.urgent,
+                    waiting: standing.other,
                     router: self.fullest_router(*workspace, *tally),
                 };
                 Some((row, weight))
--- a/crates/fair/src/engines.rs
+++ b/crates/fair/src/engines.rs
@@ -71,6 +71,12 @@
         self.stream_rate = tokens_per_second;
     }
 
+    /// Engines that are slow now.
+    pub fn slow_total(&self) -> u32 {
+        let count = self.views.values().filter(|view| view.slow).count();
+        baobab_unit::to_u32(count)
+    }
+
     /// Slots of all engines that take work.
     pub fn slots_total(&self) -> u32 {
         self.views.values().map(EngineView::usable_slots).sum()
@@ -106,7 +112,7 @@
         }
         self.measured = now;
         for (id, view) in &mut self.views {
-            view.measure(elapsed, routers.in_use(*id));
+            view.measure(elapsed, routers.running(*id));
         }
         self.judge();
     }
--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -10,6 +10,7 @@
 mod reporter;
 mod routers;
 mod shares;
+mod standing;
 mod told;
 mod tuning;
 
--- a/crates/fair/src/peers.rs
+++ b/crates/fair/src/peers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Ledger, News, NewsRow},
-    baobab_unit::{HostId, Incarnation, ModelId, PoolId, Sequence, WorkspaceId},
+    baobab_unit::{HostId, Incarnation, ModelId, PoolId, Sequence, WorkspaceId, to_u32},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -29,6 +29,31 @@
     rows: BTreeMap<WorkspaceId, PeerRow>,
 }
 
+/// Which part of a number of requests falls to one of several pools.
+#[derive(Debug, Clone, Copy)]
+pub struct Part {
+    index: u32,
+    count: u32,
+}
+
+impl Part {
+    /// Returns the requests that fall to the pool, out of all.
+    pub fn of(self, all: u32) -> u32 {
+        all / self.count + u32::from(self.index < all % self.count)
+    }
+}
+
+/// Requests of a workspace that wait in another domain.
+#[derive(Debug, Clone, Copy)]
+pub struct RemoteWaiting<'a> {
+    /// The domain's pool.
+    pub pool: PoolId,
+    /// The workspace's row.
+    pub entry: &'a PeerRow,
+    /// The part that may be granted here.
+    pub part: Part,
+}
+
 /// All other pools.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -113,13 +138,37 @@
             .sum()
     }
 
-    /// Workspaces with requests that wait in other domains for a model.
-    pub fn waiting(&self, model: ModelId) -> impl Iterator<Item = (PoolId, &PeerRow)> {
+    /// Workspaces with requests that wait in other domains for a model, and the part of them that
+    /// a pool may grant, so that the others' dispatchers don't grant the same ones.
+    pub fn waiting(&self, own: PoolId, model: ModelId) -> impl Iterator<Item = RemoteWaiting<'_>> {
         self.views
             .iter()
             .filter(move |(_, view)| view.model == model)
-            .flat_map(|(pool, view)| view.rows.values().map(|entry| (*pool, entry)))
-            .filter(|(_, entry)| entry.row.waiting + entry.row.waiting_urgent > 0)
+            .flat_map(move |(pool, view)| {
+                let part = self.part_of(own, *pool, view);
+                view.rows.values().map(move |entry| RemoteWaiting {
+                    pool: *pool,
+                    entry,
+                    part,
+                })
+            })
+            .filter(|waiting| waiting.entry.row.waiting + waiting.entry.row.waiting_urgent > 0)
+    }
+
+    fn part_of(&self, own: PoolId, pool: PoolId, view: &PeerView) -> Part {
+        let same_model = self
+            .views
+            .iter()
+            .filter(|(id, other)| other.model == view.model && **id != pool)
+            .map(|(id, _)| *id);
+        let mut takers: Vec<PoolId> = same_model.chain([own]).collect();
+        takers.sort_unstable();
+        let index = takers.iter().position(|id| *id == own).unwrap_or(0);
+        let turn = usize::try_from(view.number).unwrap_or(0) % takers.len();
+        Part {
+            index: to_u32((index + turn) % takers.len()),
+            count: to_u32(takers.len()),
+        }
     }
 
     /// Counts a grant to a request that another pool's dispatcher told of.
--- a/crates/fair/src/reporter.rs
+++ b/crates/fair/src/reporter.rs
@@ -6,12 +6,16 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Least time between two reports when something changed.
-const CHANGE_SPACING: Duration = Duration::from_millis(15);
+/// Least time between two reports to the home pool when something changed.
+const HOME_SPACING: Duration = Duration::from_millis(15);
+/// Least time between two reports to another pool when something changed.
+const AWAY_SPACING: Duration = Duration::from_millis(40);
+/// Time after which an unconfirmed report is followed by another.
+const UNCONFIRMED_SPACING: Duration = Duration::from_millis(400);
 /// Time after which changed token counts are reported.
 const TOKEN_SPACING: Duration = Duration::from_millis(250);
 /// Time after which a router with nothing new still reports, as long as it has streams or requests.
-const REFRESH: Duration = Duration::from_millis(1000);
+const REFRESH: Duration = Duration::from_secs(1);
 /// Age beyond its own validity at which a dispatcher's message is too old to act on.
 const TRANSIT_ALLOWANCE: Duration = Duration::from_millis(250);
 
@@ -30,6 +34,8 @@
     pub streams: Vec<StreamRow>,
     /// Engines.
     pub engines: Vec<EngineRow>,
+    /// Whether this router's requests wait for this pool.
+    pub is_home: bool,
 }
 
 /// Reports to the dispatcher of one pool.
@@ -44,6 +50,7 @@
     received: Window,
     answer_due: bool,
     sent: Option<Duration>,
+    tokens_taken: Option<Duration>,
     stale: u64,
     workspaces: BTreeMap<WorkspaceId, Versioned<WorkspaceRow>>,
     streams: BTreeMap<(EngineId, WorkspaceId), Versioned<StreamRow>>,
@@ -64,6 +71,7 @@
             received: Window::default(),
             answer_due: false,
             sent: None,
+            tokens_taken: None,
             stale: 0,
             workspaces: BTreeMap::new(),
             streams: BTreeMap::new(),
@@ -109,7 +117,8 @@
         }
         self.heard = Some(now);
         if grants.router_incarnation == own_incarnation {
-            self.acknowledged = self.acknowledged.max(grants.applied.min(self.number));
+            // It falls where the dispatcher has dropped this router's rows.
+            self.acknowledged = grants.applied.min(self.number);
         }
         let age = now.saturating_sub(grants.router_time);
         let mut fresh = Vec::new();
@@ -136,13 +145,17 @@
     /// Returns the report that is due, if any, for the present state.
     pub fn report(&mut self, now: Duration, state: PoolState) -> Option<Report> {
         self.dispatcher?;
-        let spaced = self.elapsed(now, CHANGE_SPACING);
-        if !spaced {
+        let spacing = if state.is_home {
+            HOME_SPACING
+        } else {
+            AWAY_SPACING
+        };
+        if !self.elapsed(now, spacing) {
             return None;
         }
         let changes = self.take_state(now, state);
         let refresh = self.is_active() && self.elapsed(now, REFRESH);
-        let unconfirmed = self.acknowledged < self.number && self.elapsed(now, TOKEN_SPACING);
+        let unconfirmed = self.acknowledged < self.number && self.elapsed(now, UNCONFIRMED_SPACING);
         if !changes && !self.answer_due && !refresh && !unconfirmed {
             return None;
         }
@@ -173,7 +186,12 @@
     /// Takes the state in. Returns whether something changed that is worth a report at once.
     fn take_state(&mut self, now: Duration, state: PoolState) -> bool {
         let next = self.number + 1;
-        let tokens_due = self.elapsed(now, TOKEN_SPACING);
+        let tokens_due = self
+            .tokens_taken
+            .is_none_or(|taken| now >= taken + TOKEN_SPACING);
+        if tokens_due {
+            self.tokens_taken = Some(now);
+        }
         let mut changed = false;
         for row in state.workspaces {
             let entry = self.workspaces.get(&row.workspace).map(|entry| entry.row);
--- a/crates/fair/src/routers.rs
+++ b/crates/fair/src/routers.rs
@@ -6,6 +6,9 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Silence after which a router's counters are forgotten.
+const FORGET_AFTER: Duration = Duration::from_mins(10);
+
 /// A grant that the router has not yet answered.
 #[derive(Debug, Clone, Copy)]
 pub struct Outstanding {
@@ -59,7 +62,8 @@
     engines: BTreeMap<EngineId, EngineRow>,
     next_grant: Sequence,
     outstanding: BTreeMap<Sequence, Outstanding>,
-    answer_due: bool,
+    answer_due: Option<Duration>,
+    is_unresponsive: bool,
 }
 
 impl RouterView {
@@ -91,6 +95,11 @@
         self.workspaces.values()
     }
 
+    /// Tells whether the router has let a grant go unanswered and not reported since.
+    pub fn is_unresponsive(&self) -> bool {
+        self.is_unresponsive
+    }
+
     /// Grants to a workspace that are not yet answered.
     pub fn outstanding_for(&self, workspace: WorkspaceId) -> u32 {
         let count = self
@@ -110,16 +119,21 @@
             .map(|entry| {
                 entry.sent = now;
                 Grant {
-                    valid: valid.saturating_sub(now - entry.issued),
+                    valid: valid.saturating_sub(now.saturating_sub(entry.issued)),
                     ..entry.grant
                 }
             })
             .collect()
     }
 
-    /// Tells once whether the router waits for word that its report has arrived.
-    pub fn take_answer_due(&mut self) -> bool {
-        std::mem::take(&mut self.answer_due)
+    /// Tells whether the router has waited for `delay` for word that its report has arrived.
+    pub fn is_answer_due(&self, now: Duration, delay: Duration) -> bool {
+        self.answer_due.is_some_and(|since| now >= since + delay)
+    }
+
+    /// Notes that the router is being told.
+    pub fn answered(&mut self) {
+        self.answer_due = None;
     }
 }
 
@@ -128,7 +142,9 @@
 pub struct Routers {
     views: BTreeMap<HostId, RouterView>,
     tallies: BTreeMap<WorkspaceId, Tally>,
-    in_use: BTreeMap<EngineId, u32>,
+    running: BTreeMap<EngineId, u32>,
+    granted: BTreeMap<EngineId, u32>,
+    issued: Sequence,
 }
 
 impl Routers {
@@ -159,12 +175,18 @@
 
     /// Returns the slots of an engine that run a stream or are granted.
     pub fn in_use(&self, engine: EngineId) -> u32 {
-        self.in_use.get(&engine).copied().unwrap_or_default()
+        self.running(engine) + self.granted.get(&engine).copied().unwrap_or_default()
+    }
+
+    /// Returns the streams that run on an engine.
+    pub fn running(&self, engine: EngineId) -> u32 {
+        self.running.get(&engine).copied().unwrap_or_default()
     }
 
     /// Applies a report. `None` means that it was older than what is known or can't be applied.
     ///
-    /// `count_first` tells whether the tokens of a router not known before count as served now.
+    /// The tokens in the first report of a router not known before don't count as served now: they
+    /// were counted by the dispatcher before this one.
     pub fn apply(
         &mut self,
         now: Duration,
@@ -172,7 +194,6 @@
         incarnation: Incarnation,
         report: &Report,
         dispatcher_incarnation: Incarnation,
-        count_first: bool,
     ) -> Option<Growth> {
         let known = self.views.contains_key(&host);
         let view = self.views.entry(host).or_default();
@@ -180,7 +201,8 @@
             return None;
         }
         view.heard = now;
-        view.answer_due = true;
+        view.is_unresponsive = false;
+        view.answer_due.get_or_insert(now);
         if incarnation > view.incarnation {
             self.restart(host, incarnation);
         }
@@ -194,7 +216,7 @@
         if report.base == 0 {
             self.clear_missing(host, report);
         }
-        let growth = self.apply_rows(host, report, known || count_first);
+        let growth = self.apply_rows(host, report, known);
         if report.dispatcher_incarnation == dispatcher_incarnation {
             self.answer_grants(host, report.received);
         }
@@ -203,7 +225,13 @@
 
     /// Records a grant.
     pub fn grant(&mut self, now: Duration, host: HostId, grant: Grant) -> Sequence {
-        let view = self.views.entry(host).or_default();
+        let issued = self.issued;
+        self.issued += 1;
+        let view = self.views.entry(host).or_insert_with(|| RouterView {
+            // A router that was forgotten must not take new numbers for old ones.
+            next_grant: issued,
+            ..RouterView::default()
+        });
         view.next_grant += 1;
         let number = view.next_grant;
         view.outstanding.insert(
@@ -217,32 +245,45 @@
         if view.heard.is_zero() {
             view.heard = now;
         }
-        *self.in_use.entry(grant.engine).or_default() += 1;
+        *self.granted.entry(grant.engine).or_default() += 1;
         self.tallies.entry(grant.workspace).or_default().outstanding += 1;
         number
     }
 
     /// Frees the slots of grants that were not answered for so long that nobody may use them.
+    /// Their routers get no further ones until they report again.
     pub fn reclaim(&mut self, now: Duration, after: Duration) -> u32 {
         let mut count = 0;
         let hosts: Vec<HostId> = self.views.keys().copied().collect();
         for host in hosts {
-            count += self.resolve(host, |entry| now >= entry.issued + after);
+            let reclaimed = self.resolve(host, |entry| now >= entry.issued + after);
+            if let (true, Some(view)) = (reclaimed > 0, self.views.get_mut(&host)) {
+                view.is_unresponsive = true;
+            }
+            count += reclaimed;
         }
         count
     }
 
-    /// Drops the rows of routers that were silent for too long, and those named by `gone`.
+    /// Clears the rows of routers that were silent for too long. Their token counters are kept for
+    /// a while, so that what they served in the meantime is charged when they are heard again.
     pub fn drop_silent(&mut self, now: Duration, silence: Duration) {
         let silent: Vec<HostId> = self
             .views
             .iter()
-            .filter(|(_, view)| now > view.heard + silence)
+            .filter(|(_, view)| now > view.heard + silence && view.applied > 0)
             .map(|(host, _)| *host)
             .collect();
         for host in silent {
-            self.remove(host);
+            self.clear_rows(host);
+            self.resolve(host, |_| true);
+            if let Some(view) = self.views.get_mut(&host) {
+                // The next report has to be a full one.
+                view.applied = 0;
+            }
         }
+        self.views
+            .retain(|_, view| view.applied > 0 || now <= view.heard + FORGET_AFTER);
     }
 
     /// Drops a router that is known to be gone.
@@ -365,8 +406,8 @@
         let before = before.unwrap_or_default();
         let tally = self.tallies.entry(workspace).or_default();
         tally.running = tally.running - before + count;
-        let in_use = self.in_use.entry(engine).or_default();
-        *in_use = *in_use - before + count;
+        let running = self.running.entry(engine).or_default();
+        *running = *running - before + count;
     }
 
     fn answer_grants(&mut self, host: HostId, received: Window) {
@@ -385,8 +426,8 @@
             .collect();
         for grant in &over {
             view.outstanding.remove(&grant.number);
-            if let Some(in_use) = self.in_use.get_mut(&grant.engine) {
-                *in_use -= 1;
+            if let Some(granted) = self.granted.get_mut(&grant.engine) {
+                *granted -= 1;
             }
             if let Some(tally) = self.tallies.get_mut(&grant.workspace) {
                 tally.outstanding -= 1;
--- a/crates/fair/src/tuning.rs
+++ b/crates/fair/src/tuning.rs
@@ -36,6 +36,8 @@
     pub grant_reclaim: Duration,
     /// Time after which an unanswered grant is sent again.
     pub grant_repeat: Duration,
+    /// Time after which a report is answered where no grant is sent to its router anyway.
+    pub answer_delay: Duration,
     /// Time between two messages that tell peers every active workspace.
     pub news_refresh: Duration,
     /// Least time between two messages to peers.
@@ -67,8 +69,9 @@
         Self {
             lookahead: Duration::from_secs(2),
             grant_valid: Duration::from_millis(500),
-            grant_reclaim: Duration::from_millis(1000),
+            grant_reclaim: Duration::from_secs(1),
             grant_repeat: Duration::from_millis(60),
+            answer_delay: Duration::from_millis(150),
             news_refresh: Duration::from_secs(1),
             news_spacing: Duration::from_millis(50),
             news_error: Duration::from_millis(200),
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -6,8 +6,10 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
-/// Silence after which a host counts as dead.
-const DEAD_AFTER: Duration = Duration::from_millis(1000);
+/// Silence after which a host of the same failure domain counts as dead.
+const NEAR_DEAD_AFTER: Duration = Duration::from_secs(1);
+/// Silence after which a host of another failure domain counts as dead.
+const FAR_DEAD_AFTER: Duration = Duration::from_millis(4500);
 
 /// A host of the fleet.
 #[derive(Debug, Clone, Copy)]
@@ -41,6 +43,7 @@
 #[derive(Debug)]
 pub struct Membership {
     own: HostId,
+    own_domain: DomainId,
     members: BTreeMap<HostId, Member>,
 }
 
@@ -55,6 +58,7 @@
         members.insert(own.host, own);
         Self {
             own: own.host,
+            own_domain: own.domain,
             members,
         }
     }
@@ -121,6 +125,11 @@
     }
 
     fn lives(&self, now: Duration, member: &Member) -> bool {
-        member.host == self.own || member.heard.is_some_and(|heard| now <= heard + DEAD_AFTER)
+        let dead_after = if member.domain == self.own_domain {
+            NEAR_DEAD_AFTER
+        } else {
+            FAR_DEAD_AFTER
+        };
+        member.host == self.own || member.heard.is_some_and(|heard| now <= heard + dead_after)
     }
 }
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -70,9 +70,10 @@
 impl Caller<'_> {
     /// Sends the request and notes what came of it.
     pub fn run(&self) {
-        let is_chat = matches!(self.event.kind, EventKind::Chat { .. });
+        // A caller can't tell when the slot of a whole answer was given.
+        let shows_start = matches!(self.event.kind, EventKind::Chat { streamed: true, .. });
         let (workspace, number) = (&self.event.workspace, self.event.number);
-        self.recorder.sent(workspace, number, is_chat);
+        self.recorder.sent(workspace, number, shows_start);
         let (tokens, key, ending) = match &self.event.kind {
             EventKind::Chat {
                 class,
@@ -235,7 +236,7 @@
             .workspaces
             .iter()
             .find(|workspace| workspace.name == self.event.workspace);
-        let key = workspace.map_or(String::new(), |workspace| workspace.key());
+        let key = workspace.map_or(String::new(), baobab_standin::site::SiteWorkspace::key);
         RequestBuilder::new(method, format!("http://{address}{path}"))
             .connect_timeout(CONNECT_TIMEOUT)
             .read_timeout(READ_TIMEOUT)
--- a/crates/load/src/fairness.rs
+++ b/crates/load/src/fairness.rs
@@ -9,6 +9,8 @@
     pub tokens: u64,
     /// Whether a request has been waiting for its first token for a while.
     pub is_backlogged: bool,
+    /// Requests that wait for their first token.
+    pub waiting: u64,
 }
 
 /// All workspaces at one moment.
@@ -88,8 +90,8 @@
             };
             largest.gap_s = gap_s;
             largest.at_s = sample.at.as_secs_f64();
-            largest.ahead = ahead.to_owned();
-            largest.behind = behind.to_owned();
+            ahead.clone_into(&mut largest.ahead);
+            behind.clone_into(&mut largest.behind);
         }
     }
 }
@@ -101,7 +103,7 @@
         let backlogged = pair[0].workspaces.values().any(|state| state.is_backlogged);
         if backlogged {
             tokens += total(&pair[1]) - total(&pair[0]);
-            time += pair[1].at - pair[0].at;
+            time += pair[1].at.saturating_sub(pair[0].at);
         }
     }
     if time.is_zero() {
--- a/crates/load/src/generate.rs
+++ b/crates/load/src/generate.rs
@@ -177,7 +177,7 @@
                 class: source.class.to_owned(),
                 prefix: self.random.random_range(0..PREFIXES),
                 tokens: whole(tokens),
-                streamed: !self.random.random_bool(0.1),
+                streamed: source.class != self.site.classes[1] || self.random.random_bool(0.5),
             };
             self.add(source.workspace, at_s, kind);
             at_s += spacing.sample(&mut self.random);
--- a/crates/load/src/recorder.rs
+++ b/crates/load/src/recorder.rs
@@ -96,15 +96,15 @@
 }
 
 impl Recorder {
-    /// Notes that a request is sent; a chat waits for its first token from now on.
-    pub fn sent(&self, workspace: &str, number: u64, is_chat: bool) {
+    /// Notes that a request is sent; a streamed one waits for its first token from now on.
+    pub fn sent(&self, workspace: &str, number: u64, is_streamed: bool) {
         let mut collected = self.lock();
         collected.open += 1;
         let state = collected
             .workspaces
             .entry(workspace.to_owned())
             .or_default();
-        if is_chat {
+        if is_streamed {
             state.waiting.insert(number, Instant::now());
         }
     }
--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -48,7 +48,7 @@
         Self {
             speed: 1.0,
             most_open: 3000,
-            patience: Duration::from_secs(60),
+            patience: Duration::from_mins(1),
         }
     }
 }
@@ -64,6 +64,10 @@
 /// The slots between two readings, and whether requests waited all the time.
 #[derive(Debug, Clone, Copy)]
 pub struct SlotWindow {
+    /// Time of its end since the start.
+    pub at: Duration,
+    /// Requests that waited at its end.
+    pub waiting: u64,
     /// At its start.
     pub before: SlotFigures,
     /// At its end.
@@ -95,12 +99,12 @@
     let left_out = send_all(&layout, events, options, &recorder, &addresses.callers);
     let abandoned = wait_for_end(&recorder, options.patience);
     let length = started.elapsed();
-    let (samples, windows) = sampler.stop();
+    let sampled = sampler.stop();
     let observed = Observed {
         site,
         length,
-        samples,
-        windows,
+        samples: sampled.samples,
+        windows: sampled.windows,
         routers_before: before,
         routers_after: read_routers(&addresses.admins),
         ran_requests: probe::ran_requests(&addresses.engines),
@@ -206,7 +210,14 @@
 /// Samples until stopped.
 struct Sampler {
     stop: Arc<AtomicBool>,
-    thread: thread::JoinHandle<(Vec<Sample>, Vec<SlotWindow>)>,
+    thread: thread::JoinHandle<Sampled>,
+}
+
+/// What a sampler has taken.
+#[derive(Debug, Default)]
+struct Sampled {
+    samples: Vec<Sample>,
+    windows: Vec<SlotWindow>,
 }
 
 impl Sampler {
@@ -217,20 +228,15 @@
         Self { stop, thread }
     }
 
-    fn stop(self) -> (Vec<Sample>, Vec<SlotWindow>) {
+    fn stop(self) -> Sampled {
         self.stop.store(true, Ordering::Relaxed);
         self.thread.join().unwrap_or_default()
     }
 }
 
-fn sample(
-    recorder: &Recorder,
-    engines: &[SocketAddr],
-    stop: &AtomicBool,
-) -> (Vec<Sample>, Vec<SlotWindow>) {
+fn sample(recorder: &Recorder, engines: &[SocketAddr], stop: &AtomicBool) -> Sampled {
     let started = Instant::now();
-    let mut samples = Vec::new();
-    let mut windows = Vec::new();
+    let mut sampled = Sampled::default();
     let mut before = probe::slot_figures(engines);
     let mut window_start = started.elapsed();
     let mut is_saturated = true;
@@ -241,14 +247,17 @@
         thread::sleep((SAMPLE_SPACING * round).saturating_sub(started.elapsed()));
         let sample = take_sample(recorder, started.elapsed());
         is_saturated &= sample.workspaces.values().any(|state| state.is_backlogged);
-        samples.push(sample);
+        let waiting = sample.workspaces.values().map(|state| state.waiting).sum();
+        sampled.samples.push(sample);
         if round % SLOT_SAMPLES == 0 {
             let after = probe::slot_figures(engines);
             let now = started.elapsed();
-            windows.push(SlotWindow {
+            sampled.windows.push(SlotWindow {
+                at: now,
+                waiting,
                 before,
                 after,
-                length: now - window_start,
+                length: now.saturating_sub(window_start),
                 is_saturated,
             });
             before = after;
@@ -256,7 +265,7 @@
             is_saturated = true;
         }
     }
-    (samples, windows)
+    sampled
 }
 
 fn take_sample(recorder: &Recorder, at: Duration) -> Sample {
@@ -273,6 +282,7 @@
                 let sample = WorkspaceSample {
                     tokens: state.tokens,
                     is_backlogged,
+                    waiting: baobab_unit::to_u64(state.waiting.len()),
                 };
                 (name.clone(), sample)
             })
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -105,6 +105,19 @@
     pub control_core_part: f64,
     /// Grants that came for nobody, as a part of all.
     pub grants_declined: f64,
+    /// Slots and waiting requests over time.
+    pub timeline: Vec<TimelinePoint>,
+}
+
+/// Slots and waiting requests at one moment.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct TimelinePoint {
+    /// Time since the start.
+    pub at_s: f64,
+    /// Part of the slots that were busy since the point before.
+    pub utilisation: f64,
+    /// Requests that waited.
+    pub waiting: u64,
 }
 
 impl Report {
@@ -155,6 +168,7 @@
                     }
                     continue;
                 }
+                serde_json::Value::Array(_) => continue,
                 other => other.to_string(),
             };
             table.add_row([name.clone(), text]);
@@ -231,6 +245,7 @@
             over_ms += (window.after.overload_slot_ms - window.before.overload_slot_ms) as f64;
             possible_ms += window.length.as_secs_f64() * 1000.0 * window.after.slots as f64;
         }
+        self.timeline = observed.windows.iter().map(timeline_point).collect();
         if possible_ms > 0.0 {
             self.utilisation_while_waiting = busy_ms / possible_ms;
             self.overload_while_waiting = over_ms / possible_ms;
@@ -277,6 +292,16 @@
     }
 }
 
+fn timeline_point(window: &SlotWindow) -> TimelinePoint {
+    let busy_ms = (window.after.busy_slot_ms - window.before.busy_slot_ms) as f64;
+    let possible_ms = window.length.as_secs_f64() * 1000.0 * window.after.slots.max(1) as f64;
+    TimelinePoint {
+        at_s: window.at.as_secs_f64(),
+        utilisation: busy_ms / possible_ms,
+        waiting: window.waiting,
+    }
+}
+
 /// Tells whether every attempt under a key was told that it did not run.
 fn all_refused(collected: &Collected, key: &str) -> bool {
     collected
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -145,9 +145,8 @@
     fn count(&self) -> MutexGuard<'_, State> {
         let mut state = self.lock();
         let now = Instant::now();
-        let elapsed_us = baobab_unit::micros(now.duration_since(state.counted));
         // Parts of a millisecond are left for the next count.
-        let elapsed_ms = elapsed_us / 1000;
+        let elapsed_ms = baobab_unit::millis(now.duration_since(state.counted));
         if elapsed_ms > 0 {
             state.counted += Duration::from_millis(elapsed_ms);
             let busy = state.stats.running.min(self.conf.slots);
--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -124,11 +124,11 @@
         let coding = request.header("transfer-encoding");
         let length = request.header("content-length");
         match (coding, length) {
-            (Some(_), Some(_)) => Err(Rejection::BadHead),
             (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => {
                 chunked::read_chunked(self, limit_bytes)
             }
-            (Some(_), None) => Err(Rejection::BadHead),
+            // Both headers at once, or a coding that isn't known.
+            (Some(_), _) => Err(Rejection::BadHead),
             (None, None) => Ok(Vec::new()),
             (None, Some(text)) => {
                 let size_bytes: usize = text.parse().map_err(|_| Rejection::BadHead)?;
--- a/crates/web/src/reply.rs
+++ b/crates/web/src/reply.rs
@@ -99,12 +99,12 @@
 
 fn head(status: u16, headers: &[Header<'_>], keep: bool) -> Vec<u8> {
     let connection = if keep { "keep-alive" } else { "close" };
-    let mut text = format!("HTTP/1.1 {status} {}\r\n", reason(status));
-    for (name, value) in headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
-    text.push_str(&format!("Connection: {connection}\r\n"));
-    text.into_bytes()
+    let lines: String = headers
+        .iter()
+        .flat_map(|(name, value)| [name, ": ", value, "\r\n"])
+        .collect();
+    let reason = reason(status);
+    format!("HTTP/1.1 {status} {reason}\r\n{lines}Connection: {connection}\r\n").into_bytes()
 }
 
 fn reason(status: u16) -> &'static str {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -131,7 +131,7 @@
         .name("caller".into())
         .stack_size(STACK_BYTES)
         .spawn(move || {
-            serve(socket, &limits, &state, handler.as_ref());
+            serve(&socket, &limits, &state, handler.as_ref());
             state.connections.fetch_sub(1, Ordering::Relaxed);
         });
     if let Err(error) = spawned {
@@ -140,7 +140,7 @@
     }
 }
 
-fn serve(socket: TcpStream, limits: &Limits, state: &State, handler: &dyn Handler) {
+fn serve(socket: &TcpStream, limits: &Limits, state: &State, handler: &dyn Handler) {
     let Ok(reading) = socket.try_clone() else {
         return;
     };
