Test real router processes while they are killed, paused, stopped and starved

Change: tests with real routers before stand-ins; copies of the configuration between routers over TCP for an outage of the platform, bound to the question by its number.

--- /dev/null
+++ b/bin/router/tests/support/mod.rs
@@ -0,0 +1,328 @@
+//! Real router processes before stand-ins that live in the test.
+
+#![allow(dead_code)]
+
+use {
+    attohttpc::{Method, RequestBuilder, Response},
+    baobab_conf::declarations::apply_text,
+    baobab_platform::{HostEntry, HostState},
+    baobab_standin::{
+        engine::{EngineConf, EngineServer},
+        platform::PlatformServer,
+        service::ServiceServer,
+        text::{Generator, prompt_with_length},
+    },
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        fmt::Write,
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::atomic::{AtomicU32, Ordering},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+pub const KEY: &str = "key-north";
+/// Longest wait for something that must come.
+const PATIENCE: Duration = Duration::from_secs(20);
+const FLEET_KEY: &str = "5f1d0c2b7a9e4836d1c05b7f92e3a8640b9c7d15e2f84a3690cd17be5a42f3d8";
+
+/// Ports of the first site, and the number that each has.
+const FIRST_PORT: u16 = 15_000;
+const PORTS: u16 = 20;
+
+static NEXT_SITE: AtomicU32 = AtomicU32::new(0);
+
+/// One router process.
+pub struct RouterProcess {
+    pub host: String,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    pub peer: SocketAddr,
+    conf: PathBuf,
+    child: Option<Child>,
+}
+
+impl RouterProcess {
+    pub fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_baobab-router"))
+            .args(["--conf".as_ref(), self.conf.as_os_str()])
+            .stderr(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the router starts");
+        self.child = Some(child);
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref().expect("it runs");
+        let id = i32::try_from(child.id()).expect("ids are small");
+        let pid = Pid::from_raw(id).expect("ids are positive");
+        kill_process(pid, signal).expect("it is this test's own child");
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+    }
+
+    /// Waits for the end of a planned stop and tells whether it was orderly.
+    pub fn wait(&mut self) -> bool {
+        let mut child = self.child.take().expect("it runs");
+        child.wait().expect("it is this test's own child").success()
+    }
+
+    pub fn status(&self) -> Option<serde_json::Value> {
+        let response = attohttpc::get(format!("http://{}/status", self.admin))
+            .connect_timeout(Duration::from_secs(1))
+            .read_timeout(Duration::from_secs(1))
+            .send()
+            .ok()?;
+        response.json().ok()
+    }
+
+    pub fn config_version(&self) -> u64 {
+        self.status()
+            .and_then(|status| status["config_version"].as_u64())
+            .unwrap_or(0)
+    }
+
+    pub fn metric(&self, name: &str) -> u64 {
+        let text = attohttpc::get(format!("http://{}/metrics", self.admin))
+            .send()
+            .and_then(Response::text)
+            .unwrap_or_default();
+        text.lines()
+            .find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+            .unwrap_or(0)
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A platform, some engines and a service in this process, and router processes before them.
+pub struct Site {
+    pub platform: PlatformServer,
+    pub engines: Vec<EngineServer>,
+    pub service: ServiceServer,
+    pub routers: Vec<RouterProcess>,
+    directory: PathBuf,
+    base_port: u16,
+}
+
+impl Site {
+    /// Starts everything; engines with `slots` slots that take `step` for a token.
+    pub fn start(routers: usize, engines: usize, slots: u32, step: Duration) -> Self {
+        let number = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
+        let name = format!("baobab-site-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).expect("the directory is writable");
+        let platform = PlatformServer::spawn(any_address()).expect("a port is free");
+        let engines = (0..engines)
+            .map(|index| {
+                EngineServer::spawn(engine_conf(index, slots, step)).expect("a port is free")
+            })
+            .collect();
+        let service =
+            ServiceServer::spawn(any_address(), Duration::from_millis(20)).expect("a port is free");
+        let mut site = Self {
+            platform,
+            engines,
+            service,
+            routers: Vec::new(),
+            directory,
+            base_port: FIRST_PORT + u16::try_from(number).expect("few sites") * PORTS,
+        };
+        site.add_routers(routers);
+        site.apply(&site.declarations(""));
+        for router in &mut site.routers {
+            router.start();
+        }
+        site.wait_ready();
+        site
+    }
+
+    /// The declarations of the site with further text at the end.
+    pub fn declarations(&self, more: &str) -> String {
+        let digest = blake3::hash(KEY.as_bytes()).to_hex();
+        let mut text = format!(
+            "[model.assistant]\n[class.question]\nrank = 0\n[class.history]\nrank = 2\n\
+             [service.desk]\naddresses = {}\nnon_idempotent = /orders\n\
+             [workspace.north]\nweight = 1\nkey_digests = {digest}\nmodels = assistant\n\
+             services = desk\n[workspace.locked]\nkey_digests = {}\n",
+            self.service.address(),
+            blake3::hash(b"key-locked").to_hex(),
+        );
+        for (index, engine) in self.engines.iter().enumerate() {
+            let slots = engine.batch().stats().slots;
+            writeln!(
+                text,
+                "[engine.e{index}]\nmodel = assistant\ndomain = couva\naddress = {}\nslots = {slots}",
+                engine.address(),
+            )
+            .expect("a string takes all");
+        }
+        text.push_str(more);
+        text
+    }
+
+    pub fn apply(&self, text: &str) -> u64 {
+        apply_text(self.platform.state().as_ref(), text, "test", None).expect("nobody else applies")
+    }
+
+    pub fn wait_ready(&self) {
+        for router in &self.routers {
+            wait_until("a router is ready", || {
+                attohttpc::get(format!("http://{}/ready", router.callers))
+                    .send()
+                    .is_ok_and(|response| response.is_success())
+            });
+        }
+    }
+
+    pub fn list_leaving(&self, names: &[&str]) {
+        let hosts = names
+            .iter()
+            .map(|name| HostEntry {
+                name: (*name).to_owned(),
+                state: HostState::Leaving,
+            })
+            .collect();
+        self.platform.state().set_hosts(hosts);
+    }
+
+    fn add_routers(&mut self, count: usize) {
+        for index in 0..count {
+            let host = format!("r{index}");
+            self.routers.push(RouterProcess {
+                conf: self.directory.join(format!("{host}.ini")),
+                host,
+                callers: self.address(index, 0),
+                admin: self.address(index, 1),
+                peer: self.address(index, 2),
+                child: None,
+            });
+        }
+        for router in &self.routers {
+            let text = self.settings(router);
+            std::fs::write(&router.conf, text).expect("the file is writable");
+        }
+    }
+
+    /// Addresses below the range that outgoing connections take theirs from.
+    fn address(&self, router: usize, offset: usize) -> SocketAddr {
+        let offset = u16::try_from(router * 3 + offset).expect("few routers");
+        SocketAddr::from(([127, 0, 0, 1], self.base_port + offset))
+    }
+
+    fn settings(&self, router: &RouterProcess) -> String {
+        let mut text = format!(
+            "[router]\nhost = {}\ndomain = couva\ncaller_address = {}\nadmin_address = {}\n\
+             peer_address = {}\nfleet_key = {FLEET_KEY}\ndrain_notice = 300ms\n\
+             body_bytes = 10000\nhead_timeout = 300ms\nbody_timeout = 300ms\n\
+             [platform]\naddress = {}\ntimeout = 400ms\nhead_poll = 200ms\n",
+            router.host,
+            router.callers,
+            router.admin,
+            router.peer,
+            self.platform.address(),
+        );
+        for peer in self.routers.iter().filter(|peer| peer.host != router.host) {
+            writeln!(
+                text,
+                "[peer.{}]\ndomain = couva\naddress = {}",
+                peer.host, peer.peer
+            )
+            .expect("a string takes all");
+        }
+        text
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.directory).ok();
+    }
+}
+
+pub fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn engine_conf(index: usize, slots: u32, step: Duration) -> EngineConf {
+    EngineConf {
+        name: format!("e{index}"),
+        address: any_address(),
+        slots,
+        step_base: step,
+        step_per_stream: Duration::ZERO,
+        prefill_per_thousand: Duration::ZERO,
+        cached_prefixes: 16,
+        load_lag: Duration::from_millis(500),
+        checks_fencing: false,
+    }
+}
+
+/// Waits for something that must come; how long it takes is not judged.
+pub fn wait_until(what: &str, is_so: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !is_so() {
+        assert!(Instant::now() < deadline, "never: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+pub fn request(method: Method, address: SocketAddr, path: &str) -> RequestBuilder {
+    RequestBuilder::new(method, format!("http://{address}{path}"))
+        .bearer_auth(KEY)
+        .connect_timeout(Duration::from_secs(2))
+        .read_timeout(Duration::from_secs(30))
+}
+
+/// Asks for a streamed answer of some tokens.
+pub fn chat(address: SocketAddr, case: &str, tokens: u64) -> attohttpc::Result<Response> {
+    let prompt = prompt_with_length(case, tokens);
+    let body = serde_json::json!({
+        "model": "assistant",
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": true,
+    });
+    request(Method::POST, address, "/v1/chat/completions")
+        .bytes(body.to_string().into_bytes())
+        .send()
+}
+
+/// Whether a streamed answer is whole and the expected one.
+pub fn is_right(response: Response, case: &str, tokens: u64) -> bool {
+    let Ok(text) = response.text() else {
+        return false;
+    };
+    let mut answer = String::new();
+    let mut is_done = false;
+    for data in text.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            is_done = true;
+        } else {
+            let json: serde_json::Value = serde_json::from_str(data).expect("it is JSON");
+            let part = json["choices"][0]["delta"]["content"].as_str();
+            answer.push_str(part.unwrap_or_default());
+        }
+    }
+    is_done && answer == Generator::new(&prompt_with_length(case, tokens)).answer()
+}
+
+pub fn order(address: SocketAddr, key: Option<&str>, body: &str) -> attohttpc::Result<Response> {
+    let mut request = request(Method::POST, address, "/svc/desk/orders");
+    if let Some(key) = key {
+        request = request.header("Idempotency-Key", key);
+    }
+    request.bytes(body.as_bytes().to_vec()).send()
+}
--- a/crates/entry/src/config/cell.rs
+++ b/crates/entry/src/config/cell.rs
@@ -15,6 +15,8 @@
     pub version: u64,
     /// Digest of the content.
     pub digest: String,
+    /// The text as applied.
+    pub text: String,
     /// The content.
     pub declarations: Declarations,
 }
--- a/crates/entry/src/config/watcher.rs
+++ b/crates/entry/src/config/watcher.rs
@@ -1,7 +1,7 @@
 //! Reads the head row and the platform's host list again and again.
 
 use {
-    super::InForce,
+    super::{InForce, copies::ask_peers},
     crate::{context::AppContext, control::Command},
     baobab_audit::Decision,
     baobab_conf::declarations::{Head, digest_of, object_key, parse_declarations},
@@ -43,6 +43,9 @@
     loop {
         if let Err(error) = read_head(context) {
             log::warn!("the configuration head can't be read: {error}");
+            for copy in ask_peers(context) {
+                take(context, copy.version, &copy.digest, &copy.text);
+            }
         }
         match context.platform.hosts() {
             Ok(hosts) => context.command(Command::Hosts(hosts)),
@@ -97,6 +100,7 @@
     let in_force = Arc::new(InForce {
         version,
         digest: digest.to_owned(),
+        text: text.to_owned(),
         declarations,
     });
     if !context.config.put(Arc::clone(&in_force)) {
--- a/crates/entry/src/control/thread.rs
+++ b/crates/entry/src/control/thread.rs
@@ -206,6 +206,8 @@
                     self.dispatching.on_news(now, sender, incarnation, &news);
                 }
                 Message::Sync(sync) => self.dispatching.on_sync(&sync),
+                // These pass over TCP only.
+                Message::WantConfig | Message::Config(_) => {}
             }
         }
     }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -4,7 +4,7 @@
     crate::{
         admin::spawn_admin,
         callers::Callers,
-        config::Watcher,
+        config::{Watcher, spawn_copies},
         context::{AppContext, Parts},
         control::{Command, Control, PeerSocket},
         journal::{AuditLog, now_ms},
@@ -123,6 +123,8 @@
                 context.metrics.clone(),
             )
             .map_err(|error| thread_error(&error))?;
+        spawn_copies(Arc::clone(context))
+            .map_err(|error| bind_error("peer", conf.peer_address, &error))?;
         let (watcher, woken) = Watcher::channel();
         Control::spawn(Arc::clone(context), received, socket, watcher)
             .map_err(|error| thread_error(&error))?;
--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -99,12 +99,12 @@
     let left_out = send_all(&layout, events, options, &recorder, &addresses.callers);
     let abandoned = wait_for_end(&recorder, options.patience);
     let length = started.elapsed();
-    let sampled = sampler.stop();
+    let taken = sampler.stop();
     let observed = Observed {
         site,
         length,
-        samples: sampled.samples,
-        windows: sampled.windows,
+        samples: taken.samples,
+        windows: taken.windows,
         routers_before: before,
         routers_after: read_routers(&addresses.admins),
         ran_requests: probe::ran_requests(&addresses.engines),
--- a/crates/once/tests/cases.rs
+++ b/crates/once/tests/cases.rs
@@ -142,19 +142,21 @@
     }
 }
 
+/// A service during whose answer the platform goes down.
+struct Failing<'a>(&'a MemoryPlatform);
+impl Sender for Failing<'_> {
+    fn send(&mut self) -> Sent {
+        self.0.set_faults(Faults {
+            down: true,
+            ..Faults::default()
+        });
+        Sent::Answered(answer(10))
+    }
+}
+
 #[test]
 fn the_record_of_the_answer_is_lost() {
     let platform = MemoryPlatform::default();
-    struct Failing<'a>(&'a MemoryPlatform);
-    impl Sender for Failing<'_> {
-        fn send(&mut self) -> Sent {
-            self.0.set_faults(Faults {
-                down: true,
-                ..Faults::default()
-            });
-            Sent::Answered(answer(10))
-        }
-    }
     let verdict = run(
         &platform,
         "k".into(),
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -10,7 +10,8 @@
 pub type FleetKey = [u8; 32];
 
 const TAG_BYTES: usize = 16;
-const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
+/// Largest packet; one sent as a datagram is bounded by the socket.
+const MAX_PACKET_BYTES: usize = 4 * 1024 * 1024;
 
 /// What one datagram carries.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,7 +92,7 @@
     pub fn encode(&self, packet: &Packet) -> Result<Vec<u8>, WireError> {
         let mut bytes =
             postcard::to_stdvec(&WirePacket::from(packet)).map_err(|_| WireError::Malformed)?;
-        if bytes.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
+        if bytes.len() + TAG_BYTES > MAX_PACKET_BYTES {
             return Err(WireError::Size);
         }
         let hash = blake3::keyed_hash(&self.key, &bytes);
@@ -105,7 +106,7 @@
     ///
     /// Fails where the datagram was not made by a holder of the key or holds impossible values.
     pub fn decode(&self, datagram: &[u8]) -> Result<Packet, WireError> {
-        if !(TAG_BYTES..=MAX_DATAGRAM_BYTES).contains(&datagram.len()) {
+        if !(TAG_BYTES..=MAX_PACKET_BYTES).contains(&datagram.len()) {
             return Err(WireError::Size);
         }
         let (content, tag) = datagram.split_at(datagram.len() - TAG_BYTES);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,5 +10,5 @@
     codec::{Codec, FleetKey, Packet},
     error::WireError,
     guard::Guard,
-    message::{Heartbeat, Message, SyncMessage},
+    message::{ConfigCopy, Heartbeat, Message, SyncMessage},
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -23,6 +23,17 @@
     pub rows: Vec<SyncRow>,
 }
 
+/// A copy of the configuration in force on the sender.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigCopy {
+    /// Version; zero where none is in force.
+    pub version: u64,
+    /// Digest of the text, in hexadecimal.
+    pub digest: String,
+    /// The text as applied.
+    pub text: String,
+}
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
@@ -36,6 +47,10 @@
     News(News),
     /// From a dispatcher to a new one.
     Sync(SyncMessage),
+    /// Asks, over TCP, for the configuration in force.
+    WantConfig,
+    /// Answers it.
+    Config(ConfigCopy),
 }
 
 impl Message {
@@ -48,6 +63,8 @@
             Self::Grants(_) => "grants",
             Self::News(_) => "news",
             Self::Sync(_) => "sync",
+            Self::WantConfig => "want_config",
+            Self::Config(_) => "config",
         }
     }
 }
--- a/crates/wire/src/rows.rs
+++ b/crates/wire/src/rows.rs
@@ -1,7 +1,7 @@
 //! The messages as they are encoded, and the bounds that received values must keep.
 
 use {
-    crate::{Heartbeat, Message, SyncMessage, WireError},
+    crate::{ConfigCopy, Heartbeat, Message, SyncMessage, WireError},
     baobab_fair::{
         EngineRow, Grant, Grants, News, NewsRow, Report, StreamRow, SyncRow, WorkspaceRow,
     },
@@ -26,6 +26,8 @@
     Grants(WireGrants),
     News(WireNews),
     Sync(WireSync),
+    WantConfig,
+    Config(WireConfig),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -127,6 +129,13 @@
     lift: Token,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WireConfig {
+    version: u64,
+    digest: String,
+    text: String,
+}
+
 /// Copies fields of the same name from one struct to another.
 macro_rules! same_fields {
     ($from:ty, $to:ident, $($field:ident),+) => {
@@ -209,6 +218,12 @@
                 pool: sync.pool,
                 rows: convert(&sync.rows),
             }),
+            Message::WantConfig => Self::WantConfig,
+            Message::Config(copy) => Self::Config(WireConfig {
+                version: copy.version,
+                digest: copy.digest.clone(),
+                text: copy.text.clone(),
+            }),
         }
     }
 }
@@ -226,6 +241,12 @@
                 pool: sync.pool,
                 rows: convert(&sync.rows),
             }),
+            WireMessage::WantConfig => Self::WantConfig,
+            WireMessage::Config(copy) => Self::Config(ConfigCopy {
+                version: copy.version,
+                digest: copy.digest,
+                text: copy.text,
+            }),
         })
     }
 }
