Take slots back from a workspace far ahead of a backlogged one

The flood comes upon idle engines and rightly takes all 216 slots; when others come it keeps them to the ends of its streams: 216 streams of some 100 tokens over a share of 1/12 are 59 s. Change: a dispatcher revokes slots of the workspace that is ahead by 2 s and some requests, one each 20 ms; the router stops the youngest of its least urgent streams there and resumes it at its offset later. Rounds of the control thread are at least 2 ms apart.

--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         context::AppContext,
-        control::{Command, Ended, Go, Outcome},
+        control::{Command, Ended, Go, Origin, Outcome},
     },
     baobab_audit::Decision,
     baobab_engine::{EngineError, Generation, Piece, TokenStream},
@@ -42,6 +42,7 @@
     CallerGone,
     Failed(EngineError),
     Expired,
+    Revoked,
 }
 
 /// Serves a request to its end. Returns the problem it ended with, if any.
@@ -87,12 +88,18 @@
                     answer.fail(problem);
                     return Some(problem);
                 }
-                claim.is_retry = true;
+                claim.origin = Origin::Retry;
             }
             (Some(unfinished), TryEnd::Expired | TryEnd::Complete) => {
                 answer = unfinished;
                 note_retry(context, call, "grant_expired");
-                claim.is_retry = true;
+                claim.origin = Origin::Returned;
+            }
+            (Some(unfinished), TryEnd::Revoked) => {
+                answer = unfinished;
+                note_retry(context, call, "revoked");
+                claim.origin = Origin::Returned;
+                ran = Ran::Unknown;
             }
         }
     }
@@ -130,7 +137,7 @@
             .is_none_or(|rest| rest.tokens() == before + received)
     );
     let outcome = match end {
-        TryEnd::Complete | TryEnd::CallerGone => Outcome::Fine,
+        TryEnd::Complete | TryEnd::CallerGone | TryEnd::Revoked => Outcome::Fine,
         TryEnd::Failed(_) => Outcome::EngineFailed,
         TryEnd::Expired => Outcome::NotSent,
     };
@@ -199,6 +206,9 @@
                 if answer.is_closed() {
                     return (None, TryEnd::CallerGone);
                 }
+                if go.revoked.load(Ordering::Relaxed) {
+                    return (Some(answer), TryEnd::Revoked);
+                }
                 answer = match answer.token(&text) {
                     Ok(answer) => answer,
                     Err(_) => return (None, TryEnd::CallerGone),
--- a/crates/entry/src/callers/handler.rs
+++ b/crates/entry/src/callers/handler.rs
@@ -9,7 +9,7 @@
         service::{self, ServiceCall},
         turn::Claim,
     },
-    crate::{config::InForce, context::AppContext},
+    crate::{config::InForce, context::AppContext, control::Origin},
     baobab_audit::Decision,
     baobab_conf::Workspace,
     baobab_unit::id_of,
@@ -121,7 +121,7 @@
             model: id_of(&chat.model),
             rank,
             prefix: chat.prefix(),
-            is_retry: false,
+            origin: Origin::New,
         };
         Ok(ChatCall {
             id,
--- a/crates/entry/src/callers/turn.rs
+++ b/crates/entry/src/callers/turn.rs
@@ -4,7 +4,7 @@
     super::problem::{Problem, Ran},
     crate::{
         context::AppContext,
-        control::{Arrival, Command, Go, StreamId, Turn, TurnDenied},
+        control::{Arrival, Command, Go, Origin, StreamId, Turn, TurnDenied},
     },
     flume::RecvTimeoutError,
     std::{
@@ -47,8 +47,8 @@
     pub rank: u8,
     /// Digest of the prompt's start.
     pub prefix: u32,
-    /// Whether it was sent to an engine before.
-    pub is_retry: bool,
+    /// Whether it is new, or waits again.
+    pub origin: Origin,
 }
 
 /// Waits until the request may be sent, is refused, or its caller goes away.
@@ -66,7 +66,7 @@
         model: claim.model,
         rank: claim.rank,
         prefix: claim.prefix,
-        is_retry: claim.is_retry,
+        origin: claim.origin,
         turn,
     }));
     let deadline = context.clock.now() + context.conf.queue_timeout;
--- a/crates/entry/src/control/command.rs
+++ b/crates/entry/src/control/command.rs
@@ -8,7 +8,10 @@
     flume::Sender,
     std::{
         net::SocketAddr,
-        sync::{Arc, atomic::AtomicU64},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64},
+        },
         time::Duration,
     },
 };
@@ -29,12 +32,23 @@
     pub rank: u8,
     /// Digest of its prompt's start.
     pub prefix: u32,
-    /// Whether it was sent to an engine before and goes to the front.
-    pub is_retry: bool,
+    /// Whether it is new, or waits again.
+    pub origin: Origin,
     /// Where its turn is told.
     pub turn: Sender<Turn>,
 }
 
+/// Why a request waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// It has just come.
+    New,
+    /// An engine failed it; it goes to the front and costs a part of the retry budget.
+    Retry,
+    /// Its slot was taken back or its grant came too late; it goes to the front.
+    Returned,
+}
+
 /// A request's turn.
 #[derive(Debug)]
 pub enum Turn {
@@ -55,6 +69,8 @@
     pub expires: Duration,
     /// Tokens received, counted by the sending thread.
     pub progress: Arc<AtomicU64>,
+    /// Set when the slot is taken back.
+    pub revoked: Arc<AtomicBool>,
 }
 
 /// Why a request does not get a turn.
--- a/crates/entry/src/control/dispatching.rs
+++ b/crates/entry/src/control/dispatching.rs
@@ -13,13 +13,14 @@
     baobab_conf::{Declarations, DispatchMode, RouterConf},
     baobab_fair::{
         Action, Dispatcher, DispatcherStatus, EngineRow, Grant, Grants, News, PoolState, Report,
-        Shares, Tuning, Waiting, WorkspaceRow, WorkspaceWeight,
+        Revocation, Shares, Tuning, Waiting, WorkspaceRow, WorkspaceWeight,
     },
     baobab_fleet::{Member, Membership},
     baobab_unit::{DomainId, EngineId, HostId, Incarnation, ModelId, PoolId, WorkspaceId, to_u32},
     baobab_wire::{Message, SyncMessage},
     std::{
         collections::{BTreeMap, BTreeSet},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -81,6 +82,7 @@
     leaving: BTreeSet<String>,
     prefixes: Prefixes,
     received: Vec<Received>,
+    revoked: Vec<Revocation>,
     waiting_since: BTreeMap<ModelId, Duration>,
 }
 
@@ -105,6 +107,7 @@
             leaving: BTreeSet::new(),
             prefixes: Prefixes::default(),
             received: Vec::new(),
+            revoked: Vec::new(),
             waiting_since: BTreeMap::new(),
         }
     }
@@ -160,14 +163,15 @@
         let Some(pool) = self.pools.get_mut(&grants.pool) else {
             return;
         };
-        let fresh = pool
+        let received = pool
             .reporter
             .on_grants(now, from, incarnation, self.incarnation, grants);
-        let received = fresh.into_iter().map(|grant| Received {
+        self.revoked.extend(received.revocations);
+        let grants = received.grants.into_iter().map(|grant| Received {
             pool: grants.pool,
             grant,
         });
-        self.received.extend(received);
+        self.received.extend(grants);
     }
 
     /// Takes a dispatcher's news in.
@@ -198,6 +202,7 @@
         self.report(now, parts);
         self.dispatch(now, parts);
         self.use_grants(now, parts, &mut outcomes);
+        self.give_back(parts);
         self.fall_back(now, parts, &mut outcomes);
         outcomes
     }
@@ -216,6 +221,7 @@
             sum.waiting += status.waiting;
             sum.granted += status.granted;
             sum.granted_remote += status.granted_remote;
+            sum.revoked += status.revoked;
             sum.reclaimed += status.reclaimed;
             sum.rows_refused += status.rows_refused;
         }
@@ -343,6 +349,15 @@
         }
     }
 
+    /// Stops the streams whose slots are taken back; each tells when it has stopped.
+    fn give_back(&mut self, parts: &mut Parts<'_>) {
+        for revocation in std::mem::take(&mut self.revoked) {
+            parts
+                .streams
+                .revoke(revocation.engine, revocation.workspace);
+        }
+    }
+
     fn use_grants(&mut self, now: Duration, parts: &mut Parts<'_>, outcomes: &mut Outcomes) {
         for Received { pool, grant } in std::mem::take(&mut self.received) {
             if self.start(now, pool, &grant, parts) {
@@ -442,12 +457,13 @@
             let Some(arrival) = arrival else {
                 return false;
             };
-            let stream = Stream::new(id, grant.engine, grant.workspace);
+            let stream = Stream::new(id, grant.engine, grant.workspace, arrival.rank);
             let go = Go {
                 engine_name: engine.name.clone(),
                 address: engine.address,
                 expires: now + grant.valid,
-                progress: std::sync::Arc::clone(&stream.progress),
+                progress: Arc::clone(&stream.progress),
+                revoked: Arc::clone(&stream.revoked),
             };
             if arrival.turn.send(Turn::Go(go)).is_err() {
                 // Its caller has just gone; the next one takes the slot.
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -12,7 +12,7 @@
 mod thread;
 
 pub use {
-    command::{Arrival, Command, Ended, Go, Outcome, StreamId, Turn, TurnDenied},
+    command::{Arrival, Command, Ended, Go, Origin, Outcome, StreamId, Turn, TurnDenied},
     socket::PeerSocket,
     thread::Control,
 };
--- a/crates/entry/src/control/queue.rs
+++ b/crates/entry/src/control/queue.rs
@@ -1,7 +1,7 @@
 //! Requests that wait on this router.
 
 use {
-    super::{Arrival, StreamId},
+    super::{Arrival, Origin, StreamId},
     baobab_unit::{ModelId, WorkspaceId, to_u32},
     std::{
         collections::{BTreeMap, VecDeque},
@@ -45,7 +45,7 @@
 }
 
 impl Queue {
-    /// Adds a request: at the back of its class, or at the front where it is sent again.
+    /// Adds a request: at the back of its class, or at the front where it waits again.
     pub fn push(&mut self, arrival: Arrival) {
         self.paces.entry(arrival.workspace).or_default().waiting += 1;
         let line = self
@@ -55,7 +55,7 @@
             .ranks
             .entry(arrival.rank)
             .or_default();
-        if arrival.is_retry {
+        if arrival.origin != Origin::New {
             line.push_front(arrival);
         } else {
             line.push_back(arrival);
--- a/crates/entry/src/control/streams.rs
+++ b/crates/entry/src/control/streams.rs
@@ -8,7 +8,7 @@
         collections::BTreeMap,
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
     },
 };
@@ -24,17 +24,22 @@
     pub workspace: WorkspaceId,
     /// Tokens received, counted by the sending thread.
     pub progress: Arc<AtomicU64>,
+    /// Set when the slot is taken back.
+    pub revoked: Arc<AtomicBool>,
+    rank: u8,
     counted: Token,
 }
 
 impl Stream {
     /// Describes a stream that has received nothing yet.
-    pub fn new(pool: PoolId, engine: EngineId, workspace: WorkspaceId) -> Self {
+    pub fn new(pool: PoolId, engine: EngineId, workspace: WorkspaceId, rank: u8) -> Self {
         Self {
             pool,
             engine,
             workspace,
             progress: Arc::default(),
+            revoked: Arc::default(),
+            rank,
             counted: 0,
         }
     }
@@ -61,6 +66,20 @@
         Some(stream)
     }
 
+    /// Takes a slot back from the least urgent stream of a workspace on an engine, the youngest of
+    /// several.
+    pub fn revoke(&mut self, engine: EngineId, workspace: WorkspaceId) {
+        let chosen = self
+            .running
+            .iter()
+            .filter(|(_, stream)| stream.engine == engine && stream.workspace == workspace)
+            .filter(|(_, stream)| !stream.revoked.load(Ordering::Relaxed))
+            .max_by_key(|(id, stream)| (stream.rank, **id));
+        if let Some((_, stream)) = chosen {
+            stream.revoked.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Counts the tokens that all streams have received.
     pub fn count_progress(&mut self) {
         let mut running = std::mem::take(&mut self.running);
--- a/crates/entry/src/control/thread.rs
+++ b/crates/entry/src/control/thread.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Arrival, Command, Ended, Outcome, PeerSocket, Turn, TurnDenied, dispatching::Dispatching,
-        health::Health, outbox::Outbox, queue::Queue, streams::Streams,
+        Arrival, Command, Ended, Origin, Outcome, PeerSocket, Turn, TurnDenied,
+        dispatching::Dispatching, health::Health, outbox::Outbox, queue::Queue, streams::Streams,
     },
     crate::{
         config::{InForce, Watcher},
@@ -25,6 +25,8 @@
 
 /// Longest time between two rounds of decisions.
 const ROUND: Duration = Duration::from_millis(10);
+/// Least time between two rounds, so that a flood of commands costs no round each.
+const ROUND_SPACING: Duration = Duration::from_millis(2);
 /// Time between two signs of life to hosts of the same failure domain.
 const NEAR_HEARTBEAT: Duration = Duration::from_millis(250);
 /// Time between two signs of life to hosts of other failure domains.
@@ -49,6 +51,8 @@
     far_heartbeat_due: Duration,
     gauges_due: Duration,
     last_round: Duration,
+    /// Whether commands came since the last round.
+    is_unsettled: bool,
 }
 
 impl Control {
@@ -92,6 +96,7 @@
             far_heartbeat_due: Duration::ZERO,
             gauges_due: Duration::ZERO,
             last_round: context.clock.now(),
+            is_unsettled: false,
             watcher,
             context,
         }
@@ -99,23 +104,43 @@
 
     fn run(mut self, commands: &Receiver<Command>) {
         loop {
-            let first = match commands.recv_timeout(ROUND) {
+            let due = self.round_due(!commands.is_empty());
+            let first = match commands.recv_timeout(due) {
                 Ok(command) => Some(command),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             let started = self.context.clock.now();
-            self.notice_pause(started);
+            let has_command = first.is_some();
             for command in first.into_iter().chain(commands.try_iter()) {
                 self.on_command(started, command);
             }
-            self.round(started);
+            self.is_unsettled |= has_command;
+            if !has_command || started >= self.last_round + ROUND_SPACING {
+                self.notice_pause(started);
+                self.round(started);
+                self.is_unsettled = false;
+            }
             let busy = self.context.clock.now().saturating_sub(started);
             let busy_us = baobab_unit::micros(busy);
             self.context.metrics.control_busy_us.inc_by(busy_us);
         }
     }
 
+    /// Time until the next round: soon where commands came since the last one.
+    fn round_due(&self, has_commands: bool) -> Duration {
+        if has_commands {
+            return Duration::ZERO;
+        }
+        let spacing = if self.is_unsettled {
+            ROUND_SPACING
+        } else {
+            ROUND
+        };
+        let now = self.context.clock.now();
+        (self.last_round + spacing).saturating_sub(now)
+    }
+
     fn notice_pause(&mut self, now: Duration) {
         let pause = now.saturating_sub(self.last_round);
         self.last_round = now;
@@ -148,9 +173,13 @@
 
     fn admission_error(&mut self, arrival: &Arrival) -> Option<TurnDenied> {
         let retry_after = self.queue.retry_after(arrival.workspace);
-        if arrival.is_retry {
-            let paid = self.health.spend_retry();
-            return (!paid).then_some(TurnDenied::RetryBudget { retry_after });
+        match arrival.origin {
+            Origin::New => {}
+            Origin::Returned => return None,
+            Origin::Retry => {
+                let paid = self.health.spend_retry();
+                return (!paid).then_some(TurnDenied::RetryBudget { retry_after });
+            }
         }
         let limit = self.in_force.as_ref().and_then(|in_force| {
             in_force
@@ -313,6 +342,7 @@
             ("waiting", u64::from(status.waiting)),
             ("granted", status.granted),
             ("granted_remote", status.granted_remote),
+            ("revoked", status.revoked),
             ("reclaimed", status.reclaimed),
             ("rows_refused", status.rows_refused),
         ];
--- a/crates/fair/src/backlog.rs
+++ b/crates/fair/src/backlog.rs
@@ -112,6 +112,11 @@
             .filter(|candidate| self.is_backlogged(candidate.workspace))
     }
 
+    /// Returns the position of the backlogged workspace that is furthest behind.
+    pub fn furthest_behind(&self, candidates: &[Candidate]) -> Option<f64> {
+        self.floor(candidates)
+    }
+
     fn floor(&self, candidates: &[Candidate]) -> Option<f64> {
         self.backlogged(candidates)
             .map(|candidate| candidate.position)
--- a/crates/fair/src/dispatcher.rs
+++ b/crates/fair/src/dispatcher.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        EngineSlots, Grant, Grants, Ledger, News, NewsRow, Report, SyncRow, Tuning,
+        EngineSlots, Grant, Grants, Ledger, News, NewsRow, Report, Revocation, SyncRow, Tuning,
         WorkspaceWeight,
         anticipated::Anticipated,
         backlog::Backlogs,
         engines::Engines,
         peers::Peers,
         ranking::{Candidate, Choice, Offer, Ranking},
+        revoking::{Chosen, Revoking},
         routers::{RouterView, Routers, Tally},
         standing::Standing,
         told::Told,
@@ -64,6 +65,8 @@
     pub granted: u64,
     /// Grants given to requests of other domains.
     pub granted_remote: u64,
+    /// Slots taken back from running streams.
+    pub revoked: u64,
     /// Grants whose slots were freed unanswered.
     pub reclaimed: u64,
     /// Rows of peers that were refused as implausible.
@@ -85,6 +88,8 @@
     ledger: Ledger,
     backlogs: Backlogs,
     told: Told,
+    revoking: Revoking,
+    revocations: Vec<Chosen>,
     anticipated: Anticipated,
     standing: Standing,
     news_number: Sequence,
@@ -120,6 +125,8 @@
             ledger: Ledger::default(),
             backlogs: Backlogs::default(),
             told: Told::default(),
+            revoking: Revoking::default(),
+            revocations: Vec::new(),
             anticipated: Anticipated::default(),
             standing: Standing::default(),
             news_number: 0,
@@ -222,7 +229,7 @@
         self.anticipated.update(now, self.peers.count(self.model));
         self.standing.update(now, self.routers.tallies());
         if now >= self.started + self.tuning.settle {
-            self.grant_slots(now);
+            self.decide(now);
         }
         let mut actions = std::mem::take(&mut self.pending);
         self.send_grants(now, &mut actions);
@@ -313,16 +320,52 @@
             + self.peers.projected(now, workspace, self.tuning.lookahead)
     }
 
-    fn grant_slots(&mut self, now: Duration) {
+    fn decide(&mut self, now: Duration) {
         let mut ranking = self.rank(now);
         self.lift(now, &mut ranking);
+        self.grant_slots(now, &mut ranking);
+        self.revoke(now, &ranking);
+    }
+
+    /// Takes a slot back where a workspace with streams is far ahead of one that is backlogged.
+    fn revoke(&mut self, now: Duration, ranking: &Ranking) {
+        let second = ranking.urgent_credit / self.tuning.urgent_credit.as_secs_f64();
+        let lead = self.tuning.revoke_lead.as_secs_f64() * second;
+        let behind = self.backlogs.furthest_behind(&ranking.candidates);
+        let (Some(behind), true) = (behind, self.revoking.is_due(now)) else {
+            return;
+        };
+        let granule = self.request_tokens() * GRANULE_REQUESTS;
+        let ahead = self
+            .routers
+            .tallies()
+            .iter()
+            .filter(|(_, tally)| tally.running > 0)
+            .filter_map(|(workspace, _)| {
+                let weight = f64::from(*self.weights.get(workspace)?);
+                let position = (self.projected(now, *workspace) - granule) / weight;
+                Some((*workspace, position))
+            })
+            .max_by(|one, other| one.1.total_cmp(&other.1));
+        let Some((workspace, position)) = ahead else {
+            return;
+        };
+        if position > behind + lead
+            && let Some(action) = self.revoking.choose(now, workspace, &self.routers)
+        {
+            self.status.revoked += 1;
+            self.revocations.push(action);
+        }
+    }
+
+    fn grant_slots(&mut self, now: Duration, ranking: &mut Ranking) {
         let mut free = self.engines.free_total(&self.routers);
         while free > 0 {
             let urgent_only = free <= self.tuning.urgent_reserve_slots;
             let Some(choice) = ranking.choose(urgent_only) else {
                 return;
             };
-            if !self.grant(now, &mut ranking, choice) {
+            if !self.grant(now, ranking, choice) {
                 return;
             }
             free -= 1;
@@ -440,9 +483,16 @@
     fn send_grants(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let (repeat, valid) = (self.tuning.grant_repeat, self.tuning.grant_valid);
         let pool = self.pool;
+        let revocations = std::mem::take(&mut self.revocations);
         for (host, view) in self.routers.views_mut() {
             let grants = view.due_grants(now, repeat, valid);
-            if grants.is_empty() && !view.is_answer_due(now, self.tuning.answer_delay) {
+            let revocations: Vec<Revocation> = revocations
+                .iter()
+                .filter(|chosen| chosen.router == host)
+                .map(|chosen| chosen.revocation)
+                .collect();
+            let has_news = !grants.is_empty() || !revocations.is_empty();
+            if !has_news && !view.is_answer_due(now, self.tuning.answer_delay) {
                 continue;
             }
             view.answered();
@@ -454,6 +504,7 @@
                     applied: view.applied(),
                     router_time: view.router_time(now),
                     grants,
+                    revocations,
                 },
             });
         }
--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod ranking;
 mod reporter;
+mod revoking;
 mod routers;
 mod shares;
 mod standing;
@@ -18,9 +19,12 @@
 pub use {
     dispatcher::{Action, Dispatcher, DispatcherStatus},
     ledger::Ledger,
-    message::{EngineRow, Grant, Grants, News, NewsRow, Report, StreamRow, SyncRow, WorkspaceRow},
+    message::{
+        EngineRow, Grant, Grants, News, NewsRow, Report, Revocation, StreamRow, SyncRow,
+        WorkspaceRow,
+    },
     ranking::Candidate,
-    reporter::{PoolState, Reporter},
+    reporter::{PoolState, Received, Reporter},
     shares::{InUse, ShareGrant, Shares, Waiting},
     tuning::{EngineSlots, Tuning, WorkspaceWeight},
 };
--- a/crates/fair/src/message.rs
+++ b/crates/fair/src/message.rs
@@ -80,6 +80,15 @@
     pub valid: Duration,
 }
 
+/// Takes a slot back from a running stream, whose request waits again and is resumed later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Revocation {
+    /// The engine.
+    pub engine: EngineId,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+}
+
 /// A dispatcher's message to one router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grants {
@@ -96,6 +105,8 @@
     pub router_time: Duration,
     /// New and repeated grants.
     pub grants: Vec<Grant>,
+    /// Slots to give back. They are sent once: a lost one is decided again.
+    pub revocations: Vec<Revocation>,
 }
 
 /// A workspace's state in one pool.
--- a/crates/fair/src/reporter.rs
+++ b/crates/fair/src/reporter.rs
@@ -1,7 +1,7 @@
 //! A router's side of a pool: what it has told the dispatcher, and the grants it has received.
 
 use {
-    crate::{EngineRow, Grant, Grants, Report, StreamRow, WorkspaceRow},
+    crate::{EngineRow, Grant, Grants, Report, Revocation, StreamRow, WorkspaceRow},
     baobab_unit::{EngineId, HostId, Incarnation, PoolId, Sequence, Window, WorkspaceId},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -38,6 +38,15 @@
     pub is_home: bool,
 }
 
+/// What a dispatcher's message asks for.
+#[derive(Debug, Default)]
+pub struct Received {
+    /// Slots to use.
+    pub grants: Vec<Grant>,
+    /// Slots to give back.
+    pub revocations: Vec<Revocation>,
+}
+
 /// Reports to the dispatcher of one pool.
 #[derive(Debug)]
 pub struct Reporter {
@@ -100,7 +109,7 @@
         self.heard
     }
 
-    /// Takes a dispatcher's message in and returns the grants that are new.
+    /// Takes a dispatcher's message in and returns what is new and not too old.
     pub fn on_grants(
         &mut self,
         now: Duration,
@@ -108,9 +117,10 @@
         incarnation: Incarnation,
         own_incarnation: Incarnation,
         grants: &Grants,
-    ) -> Vec<Grant> {
+    ) -> Received {
+        let mut received = Received::default();
         if self.dispatcher != Some(from) || incarnation < self.dispatcher_incarnation {
-            return Vec::new();
+            return received;
         }
         if incarnation > self.dispatcher_incarnation {
             self.forget_dispatcher(incarnation);
@@ -121,7 +131,6 @@
             self.acknowledged = grants.applied.min(self.number);
         }
         let age = now.saturating_sub(grants.router_time);
-        let mut fresh = Vec::new();
         for grant in &grants.grants {
             if !self.received.accept(grant.number) {
                 continue;
@@ -130,10 +139,13 @@
                 self.stale += 1;
                 continue;
             }
-            fresh.push(*grant);
+            received.grants.push(*grant);
+        }
+        if age <= TRANSIT_ALLOWANCE {
+            received.revocations.clone_from(&grants.revocations);
         }
         self.answer_due |= !grants.grants.is_empty();
-        fresh
+        received
     }
 
     /// Returns the number of grants that arrived too late to be used.
--- a/crates/fair/src/routers.rs
+++ b/crates/fair/src/routers.rs
@@ -85,6 +85,13 @@
         self.reported_at + now.saturating_sub(self.report_arrived)
     }
 
+    /// Streams by engine and workspace.
+    pub fn streams(&self) -> impl Iterator<Item = (EngineId, WorkspaceId, u32)> + '_ {
+        self.streams
+            .iter()
+            .map(|((engine, workspace), count)| (*engine, *workspace, *count))
+    }
+
     /// Tells whether the router leaves the engine alone.
     pub fn is_failing(&self, engine: EngineId) -> bool {
         self.engines.get(&engine).is_some_and(|row| row.failing)
--- a/crates/fair/src/tuning.rs
+++ b/crates/fair/src/tuning.rs
@@ -50,6 +50,8 @@
     pub urgent_credit: Duration,
     /// Service that a request of the pool's own domain may go ahead of a remote one.
     pub locality_credit: Duration,
+    /// Service by which a workspace has to be ahead of a backlogged one for a slot to be taken back.
+    pub revoke_lead: Duration,
     /// Largest service that a backlogged workspace may catch up.
     pub catch_up: Duration,
     /// Time without backlog after which a workspace counts as idle.
@@ -78,6 +80,7 @@
             news_valid: Duration::from_secs(5),
             urgent_credit: Duration::from_millis(500),
             locality_credit: Duration::from_millis(700),
+            revoke_lead: Duration::from_secs(2),
             catch_up: Duration::from_secs(4),
             idle_after: Duration::from_secs(1),
             backlog_after: Duration::from_millis(250),
--- a/crates/fair/tests/fairness.rs
+++ b/crates/fair/tests/fairness.rs
@@ -163,3 +163,24 @@
     let share = fleet.tokens(1) as f64 / (fleet.tokens(1) + fleet.tokens(2)) as f64;
     assert!(share >= 0.5 * 0.95, "{share}");
 }
+
+/// A flood comes upon an idle fleet and takes all slots with long streams; then others come.
+#[test]
+fn slots_taken_by_a_flood_while_idle_are_given_back() {
+    let mut fleet = Fleet::start(DOMAINS, 2, ENGINES, SLOTS, &[(1, 1), (2, 4), (3, 4)]);
+    fleet.network.least_delay = Duration::from_millis(3);
+    fleet.network.most_delay = Duration::from_millis(8);
+    for router in &mut fleet.routers {
+        router.length = Duration::from_secs(20);
+    }
+    fleet.router(101).add(1, 100_000);
+    fleet.run_for(Duration::from_secs(3));
+    assert_eq!(fleet.streams(), 96);
+    fleet.router(201).add(2, 100_000);
+    fleet.router(301).add(3, 100_000);
+    fleet.run_for(Duration::from_secs(4));
+    let held = fleet.router(101).streams_of(1);
+    // Its share is 96 / 9 slots.
+    assert!(held <= 32, "{held} of 96 slots after 4 s");
+    assert!(fleet.streams() >= 90);
+}
--- a/crates/fair/tests/support/router.rs
+++ b/crates/fair/tests/support/router.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{STEP, STREAM_RATE, network::Message},
-    baobab_fair::{EngineRow, Grant, PoolState, Report, Reporter, StreamRow, WorkspaceRow},
+    baobab_fair::{
+        EngineRow, Grant, PoolState, Report, Reporter, Revocation, StreamRow, WorkspaceRow,
+    },
     baobab_unit::{EngineId, HostId, Incarnation, PoolId, Token, WorkspaceId},
     std::{collections::BTreeMap, time::Duration},
 };
@@ -33,6 +35,7 @@
     pub is_paused: bool,
     pub held: Vec<(HostId, Message)>,
     pub declined: u32,
+    pub given_back: u32,
     /// Longest that a request of the most urgent class was started after its grant was decided.
     pub started: Vec<(Duration, WorkspaceId, EngineId)>,
     reporters: BTreeMap<PoolId, Reporter>,
@@ -52,6 +55,7 @@
             is_paused: false,
             held: Vec::new(),
             declined: 0,
+            given_back: 0,
             started: Vec::new(),
             reporters: pools
                 .iter()
@@ -142,10 +146,13 @@
         let Some(reporter) = self.reporters.get_mut(&grants.pool) else {
             return;
         };
-        let fresh = reporter.on_grants(now, from, *incarnation, self.incarnation, grants);
-        for grant in fresh {
+        let received = reporter.on_grants(now, from, *incarnation, self.incarnation, grants);
+        for grant in received.grants {
             self.start(now, grants.pool, &grant);
         }
+        for revocation in received.revocations {
+            self.give_back(revocation);
+        }
     }
 
     pub fn run(&mut self, now: Duration) {
@@ -180,6 +187,24 @@
         });
     }
 
+    /// Stops the youngest stream of a workspace; the rest of its request waits again.
+    fn give_back(&mut self, revocation: Revocation) {
+        let youngest = self
+            .running
+            .iter()
+            .enumerate()
+            .filter(|(_, stream)| {
+                stream.engine == revocation.engine && stream.workspace == revocation.workspace
+            })
+            .max_by_key(|(_, stream)| stream.started)
+            .map(|(index, _)| index);
+        if let Some(index) = youngest {
+            self.running.remove(index);
+            self.add(revocation.workspace, 1);
+            self.given_back += 1;
+        }
+    }
+
     fn state(&self, pool: PoolId) -> PoolState {
         let mut rows: BTreeMap<WorkspaceId, WorkspaceRow> = BTreeMap::new();
         let empty = |workspace| WorkspaceRow {
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -31,6 +31,8 @@
     pub site: &'a Site,
     /// The request.
     pub event: &'a Event,
+    /// Whether the request belongs to the flood; its times are kept apart.
+    pub is_flood: bool,
     /// The routers, the balancer's choice first.
     pub routers: &'a [SocketAddr],
     /// Where to note what happens.
@@ -116,8 +118,13 @@
             return refusal(response);
         }
         let expected = Generator::new(&prompt);
+        let class = if self.is_flood {
+            format!("{class} (flood)")
+        } else {
+            class.to_owned()
+        };
         if streamed {
-            self.read_stream(response, class, &expected, sent)
+            self.read_stream(response, &class, &expected, sent)
         } else {
             self.read_whole(response, &expected)
         }
--- a/crates/load/src/fairness.rs
+++ b/crates/load/src/fairness.rs
@@ -2,6 +2,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+/// Time of backlog from which on a workspace's share is judged.
+const LEAST_BACKLOG: Duration = Duration::from_secs(5);
+
 /// A workspace at one moment.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WorkspaceSample {
@@ -134,3 +137,48 @@
 fn total(sample: &Sample) -> u64 {
     sample.workspaces.values().map(|state| state.tokens).sum()
 }
+
+/// What a workspace received of what was due to it.
+#[derive(Debug, Clone)]
+pub struct ShareKept {
+    /// The workspace.
+    pub workspace: String,
+    /// Part received.
+    pub part: f64,
+}
+
+/// Finds the workspace that received the least part of its fair share while it was backlogged:
+/// its weight's part of all that the backlogged workspaces received together.
+#[must_use]
+pub fn least_share_kept(samples: &[Sample], weights: &BTreeMap<String, f64>) -> Option<ShareKept> {
+    let mut sums: BTreeMap<&str, (f64, f64, Duration)> = BTreeMap::new();
+    for pair in samples.windows(2) {
+        let (before, after) = (&pair[0], &pair[1]);
+        let backlogged: Vec<(&String, u64)> = after
+            .workspaces
+            .iter()
+            .filter(|(_, state)| state.is_backlogged)
+            .filter_map(|(name, state)| {
+                let earlier = before.workspaces.get(name)?;
+                earlier
+                    .is_backlogged
+                    .then(|| (name, state.tokens - earlier.tokens))
+            })
+            .collect();
+        let tokens: u64 = backlogged.iter().map(|(_, tokens)| tokens).sum();
+        let weight: f64 = backlogged.iter().map(|(name, _)| weights[*name]).sum();
+        for (name, received) in backlogged {
+            let sum = sums.entry(name).or_default();
+            sum.0 += received as f64;
+            sum.1 += tokens as f64 * weights[name] / weight;
+            sum.2 += after.at.saturating_sub(before.at);
+        }
+    }
+    sums.into_iter()
+        .filter(|(_, (_, due, time))| *due > 0.0 && *time >= LEAST_BACKLOG)
+        .map(|(workspace, (received, due, _))| ShareKept {
+            workspace: workspace.to_owned(),
+            part: received / due,
+        })
+        .min_by(|one, other| one.part.total_cmp(&other.part))
+}
--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -11,6 +11,7 @@
     baobab_standin::site::{Layout, Site},
     indicatif::{ProgressBar, ProgressStyle},
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{
             Arc,
@@ -150,6 +151,7 @@
 ) -> u64 {
     let progress = progress_bar(events.len());
     let started = Instant::now();
+    let flooding = flooding_workspace(events);
     let mut left_out = 0;
     for event in events {
         let due = Duration::from_millis(event.at_ms).div_f64(options.speed);
@@ -159,13 +161,32 @@
             left_out += 1;
             continue;
         }
-        start_caller(layout.site, event, recorder, routers);
+        let is_flood = flooding == Some(event.workspace.as_str());
+        start_caller(layout.site, event, is_flood, recorder, routers);
     }
     progress.finish_and_clear();
     left_out
 }
 
-fn start_caller(site: Site, event: &Event, recorder: &Arc<Recorder>, routers: &[SocketAddr]) {
+/// Returns the workspace that sends more than half of all requests.
+fn flooding_workspace(events: &[Event]) -> Option<&str> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for event in events {
+        *counts.entry(&event.workspace).or_default() += 1;
+    }
+    counts
+        .into_iter()
+        .find(|(_, count)| count * 2 > events.len())
+        .map(|(workspace, _)| workspace)
+}
+
+fn start_caller(
+    site: Site,
+    event: &Event,
+    is_flood: bool,
+    recorder: &Arc<Recorder>,
+    routers: &[SocketAddr],
+) {
     let event = event.clone();
     let recorder = Arc::clone(recorder);
     let mut routers = routers.to_vec();
@@ -176,6 +197,7 @@
             let caller = Caller {
                 site: &site,
                 event: &event,
+                is_flood,
                 routers: &routers,
                 recorder: &recorder,
             };
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Sample,
-        fairness::largest_gap,
+        fairness::{largest_gap, least_share_kept},
         probe::RouterFigures,
         recorder::{Collected, Ended, Ending},
         replay::SlotWindow,
@@ -79,6 +79,11 @@
     pub fairness_gap_at_s: f64,
     /// The workspaces ahead and behind when the gap was largest.
     pub fairness_pair: String,
+    /// Least part of its fair share that a workspace received, of those that were backlogged for
+    /// at least 5 s, over all the time that each was.
+    pub least_share_kept: f64,
+    /// That workspace.
+    pub least_share_workspace: String,
     /// Tokens a second while somebody was backlogged.
     pub fleet_tokens_per_s: f64,
     /// Tokens by workspace.
@@ -229,6 +234,10 @@
         self.fairness_bound_s = LAG_BOUND_S + self.fairness_granule_s;
         self.fairness_gap_at_s = gap.at_s;
         self.fairness_pair = format!("{} ahead of {}", gap.ahead, gap.behind);
+        if let Some(kept) = least_share_kept(&observed.samples, &weights) {
+            self.least_share_kept = kept.part;
+            self.least_share_workspace = kept.workspace;
+        }
         self.fleet_tokens_per_s = gap.fleet_rate;
         self.tokens = states
             .iter()
--- a/crates/wire/src/rows.rs
+++ b/crates/wire/src/rows.rs
@@ -3,7 +3,8 @@
 use {
     crate::{ConfigCopy, Heartbeat, Message, SyncMessage, WireError},
     baobab_fair::{
-        EngineRow, Grant, Grants, News, NewsRow, Report, StreamRow, SyncRow, WorkspaceRow,
+        EngineRow, Grant, Grants, News, NewsRow, Report, Revocation, StreamRow, SyncRow,
+        WorkspaceRow,
     },
     baobab_unit::{
         EngineId, HostId, Incarnation, ModelId, PoolId, Sequence, Token, Window, WorkspaceId,
@@ -84,6 +85,13 @@
     applied: Sequence,
     router_time_ms: u64,
     grants: Vec<WireGrant>,
+    revocations: Vec<WireRevocation>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRevocation {
+    engine: EngineId,
+    workspace: WorkspaceId,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -193,6 +201,8 @@
     waiting,
     router
 );
+same_fields!(Revocation, WireRevocation, engine, workspace);
+same_fields!(WireRevocation, Revocation, engine, workspace);
 same_fields!(SyncRow, WireSyncRow, workspace, tokens, lift);
 same_fields!(WireSyncRow, SyncRow, workspace, tokens, lift);
 
@@ -300,6 +310,7 @@
             applied: grants.applied,
             router_time_ms: millis(grants.router_time),
             grants: convert(&grants.grants),
+            revocations: convert(&grants.revocations),
         }
     }
 }
@@ -328,6 +339,7 @@
             applied: grants.applied,
             router_time: Duration::from_millis(grants.router_time_ms),
             grants: list?,
+            revocations: convert(&grants.revocations),
         })
     }
 }
--- a/crates/wire/tests/datagrams.rs
+++ b/crates/wire/tests/datagrams.rs
@@ -1,7 +1,7 @@
 //! Forged, replayed and garbled datagrams.
 
 use {
-    baobab_fair::{Grant, Grants, News, NewsRow, Report, WorkspaceRow},
+    baobab_fair::{Grant, Grants, News, NewsRow, Report, Revocation, WorkspaceRow},
     baobab_unit::Window,
     baobab_wire::{Codec, Guard, Heartbeat, Message, Packet, WireError},
     proptest::{
@@ -53,6 +53,10 @@
                     urgent_only: true,
                     valid: Duration::from_millis(500),
                 }],
+                revocations: vec![Revocation {
+                    engine: 21,
+                    workspace: 12,
+                }],
             }),
         ],
     }
