Start a workspace back from idle level with what the others have received

A newcomer was lifted to the projected position of the flood, which holds what its 216 running streams will still receive; so nobody counted as ahead and no slot was taken back. Change: the lift goes to what the backlogged workspace furthest behind has received.

--- a/crates/fair/src/backlog.rs
+++ b/crates/fair/src/backlog.rs
@@ -29,15 +29,16 @@
 }
 
 impl Backlogs {
-    /// Remembers the position at which a request was granted.
-    pub fn served(&mut self, position: f64) {
-        self.last_served = self.last_served.max(position);
+    /// Remembers what a workspace had received when a request of its was granted.
+    pub fn served(&mut self, received: f64) {
+        self.last_served = self.last_served.max(received);
     }
 
     /// Takes the waiting workspaces in and returns the lifts that are due.
     ///
-    /// A workspace back from idle starts level with the backlogged one that is furthest behind, so
-    /// that it spends no saved-up credit. A backlogged one may lag at most `catch_up` behind the
+    /// A workspace back from idle starts level with what the backlogged one that is furthest behind
+    /// has received, so that it spends no saved-up credit. What the others' running streams will
+    /// still receive counts against them, not against the newcomer. A backlogged one may lag at most `catch_up` behind the
     /// one that is furthest ahead, so that a long cut's debt does not starve the others.
     pub fn update(
         &mut self,
@@ -114,12 +115,14 @@
 
     /// Returns the position of the backlogged workspace that is furthest behind.
     pub fn furthest_behind(&self, candidates: &[Candidate]) -> Option<f64> {
-        self.floor(candidates)
+        self.backlogged(candidates)
+            .map(|candidate| candidate.position)
+            .min_by(f64::total_cmp)
     }
 
     fn floor(&self, candidates: &[Candidate]) -> Option<f64> {
         self.backlogged(candidates)
-            .map(|candidate| candidate.position)
+            .map(|candidate| candidate.received)
             .min_by(f64::total_cmp)
     }
 
--- a/crates/fair/src/dispatcher.rs
+++ b/crates/fair/src/dispatcher.rs
@@ -387,7 +387,7 @@
             urgent_only: choice.urgent_only,
             valid: self.tuning.grant_valid,
         };
-        self.backlogs.served(candidate.position);
+        self.backlogs.served(candidate.received);
         self.routers.grant(now, offer.router, grant);
         if let Some(pool) = offer.remote {
             self.peers.take(pool, workspace);
@@ -414,6 +414,7 @@
                     workspace,
                     weight,
                     position: self.projected(now, workspace) / weight,
+                    received: self.ledger.level(workspace) as f64 / weight,
                     served: (self.ledger.level(workspace) as f64 - granule) / weight,
                     offers,
                 })
--- a/crates/fair/src/ranking.rs
+++ b/crates/fair/src/ranking.rs
@@ -37,6 +37,8 @@
     pub weight: f64,
     /// Projected service over weight, in tokens.
     pub position: f64,
+    /// Service received over weight, in tokens.
+    pub received: f64,
     /// Service received over weight, less what a few requests of its own make up, in tokens.
     pub served: f64,
     /// Where its requests wait.
