Measure slopes of decisions, messages and whole fleets

Ruled out: a simulated cluster (not wanted now); the decision code is driven alone, and fleets of 6 to 48 routers and of 54 to 504 streams on a router run as processes.

--- a/bin/load/src/args.rs
+++ b/bin/load/src/args.rs
@@ -18,6 +18,7 @@
 pub enum Command {
     Generate(GenerateArgs),
     Replay(ReplayArgs),
+    Slopes(SlopesArgs),
 }
 
 /// Generates a trace.
@@ -61,7 +62,24 @@
     #[argh(option)]
     pub report: Option<PathBuf>,
 
+    /// number of routers
+    #[argh(option, default = "6")]
+    pub routers: usize,
+
     /// factor by which the waits between arrivals are shortened
     #[argh(option, default = "1.0")]
     pub speed: f64,
 }
+
+/// Measures the cost of decisions and messages against size, for docs/CAPACITY.md.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+pub struct SlopesArgs {
+    /// directory for the plots and the tables
+    #[argh(option)]
+    pub directory: PathBuf,
+
+    /// reports of replays with growing numbers, to be put into tables as well: NAME=FILE,FILE,...
+    #[argh(option)]
+    pub reports: Vec<String>,
+}
--- a/bin/load/src/cli.rs
+++ b/bin/load/src/cli.rs
@@ -1,9 +1,10 @@
 //! Generates or replays a trace.
 
 use {
-    crate::args::{Args, Command, GenerateArgs, ReplayArgs},
+    crate::args::{Args, Command, GenerateArgs, ReplayArgs, SlopesArgs},
     baobab_load::{
-        GenerateOptions, LoadError, ReplayOptions, generate, read_trace, replay, write_trace,
+        GenerateOptions, LoadError, ReplayOptions, generate, measure_slopes, read_trace, replay,
+        write_slopes, write_trace,
     },
     baobab_standin::site::{Site, site},
     std::{error::Error, time::Duration},
@@ -22,6 +23,7 @@
         None => Err("no command was named; see --help".into()),
         Some(Command::Generate(args)) => run_generate(&args),
         Some(Command::Replay(args)) => run_replay(&args),
+        Some(Command::Slopes(args)) => run_slopes(&args),
     }
 }
 
@@ -41,6 +43,7 @@
 fn run_replay(args: &ReplayArgs) -> Outcome {
     let events = read_trace(&args.trace)?;
     let options = ReplayOptions {
+        routers: args.routers,
         speed: args.speed,
         ..ReplayOptions::default()
     };
@@ -55,6 +58,12 @@
     Ok(())
 }
 
+fn run_slopes(args: &SlopesArgs) -> Outcome {
+    let tables = measure_slopes(&args.reports)?;
+    write_slopes(&tables, &args.directory)?;
+    Ok(())
+}
+
 fn find_site(name: &str) -> Result<Site, LoadError> {
     site(name).ok_or_else(|| LoadError::UnknownSite(name.to_owned()))
 }
--- a/bin/standin/src/args.rs
+++ b/bin/standin/src/args.rs
@@ -82,6 +82,14 @@
     #[argh(option, default = "String::from(\"grants\")")]
     pub dispatch: String,
 
+    /// number of routers; other than 6 they reach each other directly
+    #[argh(option, default = "6")]
+    pub routers: usize,
+
+    /// slots of each engine
+    #[argh(option, default = "12")]
+    pub slots: u32,
+
     /// datagrams lost between failure domains, in percent
     #[argh(option, default = "2")]
     pub loss_percent: u32,
--- a/bin/standin/src/cli.rs
+++ b/bin/standin/src/cli.rs
@@ -60,9 +60,14 @@
     let options = Options {
         dispatch: args.dispatch.clone(),
         loss_percent: args.loss_percent,
+        slots: args.slots,
         ..Options::default()
     };
-    Ok(write_site(&Layout::new(site), &options, &args.directory)?)
+    Ok(write_site(
+        &Layout::with_routers(site, args.routers),
+        &options,
+        &args.directory,
+    )?)
 }
 
 /// Keeps what runs until the process is ended.
--- a/crates/entry/src/control/queue.rs
+++ b/crates/entry/src/control/queue.rs
@@ -55,10 +55,10 @@
             .ranks
             .entry(arrival.rank)
             .or_default();
-        if arrival.origin != Origin::New {
-            line.push_front(arrival);
-        } else {
+        if arrival.origin == Origin::New {
             line.push_back(arrival);
+        } else {
+            line.push_front(arrival);
         }
     }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,6 +3,7 @@
 use {
     prometheus::{
         Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+        process_collector::ProcessCollector,
     },
     std::sync::Arc,
 };
@@ -47,6 +48,7 @@
     /// Registers all metrics.
     pub fn open() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
+        registry.register(Box::new(ProcessCollector::for_self()))?;
         let counters = |name: &str, help: &str, label: &str| -> Result<_, prometheus::Error> {
             let vector = IntCounterVec::new(Opts::new(name, help), &[label])?;
             registry.register(Box::new(vector.clone()))?;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,7 @@
 mod recorder;
 mod replay;
 mod report;
+mod slopes;
 mod trace;
 
 pub use {
@@ -16,5 +17,6 @@
     generate::{Flood, GenerateOptions, generate},
     replay::{ReplayOptions, replay},
     report::Report,
+    slopes::{Table, measure_slopes, write_slopes},
     trace::{Event, EventKind, read_trace, write_trace},
 };
--- a/crates/load/src/probe.rs
+++ b/crates/load/src/probe.rs
@@ -21,6 +21,18 @@
     pub grants_declined: u64,
     /// Grants used.
     pub grants_used: u64,
+    /// Resident memory of the process.
+    pub memory_bytes: u64,
+    /// Threads of the process.
+    pub threads: u64,
+    /// Processor time of the process, whole seconds.
+    pub cpu_s: u64,
+    /// Streams running.
+    pub streams: u64,
+    /// Bytes of audit batches written.
+    pub audit_bytes: u64,
+    /// Audit batches written.
+    pub audit_batches: u64,
 }
 
 /// Slots of all engines.
@@ -50,6 +62,12 @@
         control_busy_us: counter(&text, "baobab_control_busy_microseconds_total"),
         grants_declined: counter(&text, "baobab_grants_total{outcome=\"declined\"}"),
         grants_used: counter(&text, "baobab_grants_total{outcome=\"used\"}"),
+        memory_bytes: counter(&text, "process_resident_memory_bytes"),
+        threads: counter(&text, "process_threads"),
+        cpu_s: counter(&text, "process_cpu_seconds_total"),
+        streams: counter(&text, "baobab_streams"),
+        audit_bytes: counter(&text, "baobab_audit{figure=\"bytes\"}"),
+        audit_batches: counter(&text, "baobab_audit{figure=\"batches\"}"),
     }
 }
 
--- a/crates/load/src/replay.rs
+++ b/crates/load/src/replay.rs
@@ -22,13 +22,16 @@
     },
 };
 
-const ROUTERS: usize = 6;
+/// Routers that traces are generated for.
+const TRACE_ROUTERS: usize = 6;
 const ENGINES: usize = 18;
 const SERVICES: usize = 3;
 const STACK_BYTES: usize = 192 * 1024;
 const SAMPLE_SPACING: Duration = Duration::from_millis(100);
 /// Samples between two readings of the engines' slots.
 const SLOT_SAMPLES: u32 = 5;
+/// Samples between two looks at the routers' processes.
+const PROCESS_SAMPLES: u32 = 20;
 /// Time that a request waits before its workspace counts as backlogged.
 const BACKLOG_AFTER: Duration = Duration::from_millis(300);
 const READY_PATIENCE: Duration = Duration::from_secs(20);
@@ -36,6 +39,8 @@
 /// How a trace is replayed.
 #[derive(Debug, Clone)]
 pub struct ReplayOptions {
+    /// Routers of the site.
+    pub routers: usize,
     /// Factor by which the waits between arrivals are shortened.
     pub speed: f64,
     /// Requests that may be open at the same time; more are left out and counted.
@@ -47,6 +52,7 @@
 impl Default for ReplayOptions {
     fn default() -> Self {
         Self {
+            routers: TRACE_ROUTERS,
             speed: 1.0,
             most_open: 3000,
             patience: Duration::from_mins(1),
@@ -85,17 +91,25 @@
 ///
 /// Fails where no router becomes ready.
 pub fn replay(site: Site, events: &[Event], options: &ReplayOptions) -> Result<Report, LoadError> {
-    let layout = Layout::new(site);
+    let layout = Layout::with_routers(site, options.routers);
     let addresses = Addresses {
-        callers: (0..ROUTERS).map(|index| layout.callers(index)).collect(),
-        admins: (0..ROUTERS).map(|index| layout.admin(index)).collect(),
+        callers: (0..options.routers)
+            .map(|index| layout.callers(index))
+            .collect(),
+        admins: (0..options.routers)
+            .map(|index| layout.admin(index))
+            .collect(),
         engines: (0..ENGINES).map(|index| layout.engine(index)).collect(),
         services: (0..SERVICES).map(|index| layout.service(index)).collect(),
     };
     wait_until_ready(&addresses.callers)?;
     let recorder: Arc<Recorder> = Arc::default();
     let before = read_routers(&addresses.admins);
-    let sampler = Sampler::spawn(Arc::clone(&recorder), addresses.engines.clone());
+    let sampler = Sampler::spawn(
+        Arc::clone(&recorder),
+        addresses.engines.clone(),
+        addresses.admins.clone(),
+    );
     let started = Instant::now();
     let left_out = send_all(&layout, events, options, &recorder, &addresses.callers);
     let abandoned = wait_for_end(&recorder, options.patience);
@@ -106,6 +120,7 @@
         length,
         samples: taken.samples,
         windows: taken.windows,
+        router_peaks: taken.router_peaks,
         routers_before: before,
         routers_after: read_routers(&addresses.admins),
         ran_requests: probe::ran_requests(&addresses.engines),
@@ -190,7 +205,11 @@
     let event = event.clone();
     let recorder = Arc::clone(recorder);
     let mut routers = routers.to_vec();
-    routers.rotate_left(event.router % ROUTERS);
+    // With more routers than the trace knows, each of its routers stands for several.
+    let each = (routers.len() / TRACE_ROUTERS).max(1);
+    let turn = usize::try_from(event.number).unwrap_or(0) % each;
+    let chosen = (event.router * each + turn) % routers.len();
+    routers.rotate_left(chosen);
     let spawned = thread::Builder::new()
         .stack_size(STACK_BYTES)
         .spawn(move || {
@@ -240,13 +259,14 @@
 struct Sampled {
     samples: Vec<Sample>,
     windows: Vec<SlotWindow>,
+    router_peaks: Vec<RouterFigures>,
 }
 
 impl Sampler {
-    fn spawn(recorder: Arc<Recorder>, engines: Vec<SocketAddr>) -> Self {
+    fn spawn(recorder: Arc<Recorder>, engines: Vec<SocketAddr>, admins: Vec<SocketAddr>) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let flag = Arc::clone(&stop);
-        let thread = thread::spawn(move || sample(&recorder, &engines, &flag));
+        let thread = thread::spawn(move || sample(&recorder, &engines, &admins, &flag));
         Self { stop, thread }
     }
 
@@ -256,7 +276,24 @@
     }
 }
 
-fn sample(recorder: &Recorder, engines: &[SocketAddr], stop: &AtomicBool) -> Sampled {
+impl Sampled {
+    fn add_peaks(&mut self, figures: &[RouterFigures]) {
+        self.router_peaks
+            .resize(figures.len(), RouterFigures::default());
+        for (peak, figures) in self.router_peaks.iter_mut().zip(figures) {
+            peak.streams = peak.streams.max(figures.streams);
+            peak.memory_bytes = peak.memory_bytes.max(figures.memory_bytes);
+            peak.threads = peak.threads.max(figures.threads);
+        }
+    }
+}
+
+fn sample(
+    recorder: &Recorder,
+    engines: &[SocketAddr],
+    admins: &[SocketAddr],
+    stop: &AtomicBool,
+) -> Sampled {
     let started = Instant::now();
     let mut sampled = Sampled::default();
     let mut before = probe::slot_figures(engines);
@@ -271,6 +308,9 @@
         is_saturated &= sample.workspaces.values().any(|state| state.is_backlogged);
         let waiting = sample.workspaces.values().map(|state| state.waiting).sum();
         sampled.samples.push(sample);
+        if round % PROCESS_SAMPLES == 0 {
+            sampled.add_peaks(&read_routers(admins));
+        }
         if round % SLOT_SAMPLES == 0 {
             let after = probe::slot_figures(engines);
             let now = started.elapsed();
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -34,6 +34,8 @@
     pub routers_before: Vec<RouterFigures>,
     /// Counters of the routers after.
     pub routers_after: Vec<RouterFigures>,
+    /// The largest figures of each router, from several looks.
+    pub router_peaks: Vec<RouterFigures>,
     /// Requests that engines started.
     pub ran_requests: BTreeSet<String>,
     /// What services executed.
@@ -110,6 +112,18 @@
     pub control_core_part: f64,
     /// Grants that came for nobody, as a part of all.
     pub grants_declined: f64,
+    /// Most streams that a router had at the same time, as far as it was looked at.
+    pub router_streams: u64,
+    /// Most resident memory of a router.
+    pub router_memory_bytes: u64,
+    /// Most threads of a router.
+    pub router_threads: u64,
+    /// Processor time of the busiest router, as a part of a core.
+    pub router_core_part: f64,
+    /// Bytes of audit records for each request.
+    pub audit_bytes_per_request: f64,
+    /// Audit batches that all routers wrote a second.
+    pub audit_batches_per_s: f64,
     /// Slots and waiting requests over time.
     pub timeline: Vec<TimelinePoint>,
 }
@@ -294,11 +308,30 @@
             declined += after.grants_declined.saturating_sub(before.grants_declined);
             used += after.grants_used.saturating_sub(before.grants_used);
         }
+        self.add_processes(observed, seconds);
         let hosts = observed.routers_after.len().max(1) as f64;
         self.control_bytes_per_host_s =
             (self.same_domain_bytes_s + self.cross_domain_bytes_s) / hosts;
         self.grants_declined = declined as f64 / (declined + used).max(1) as f64;
     }
+
+    fn add_processes(&mut self, observed: &Observed, seconds: f64) {
+        for peak in &observed.router_peaks {
+            self.router_streams = self.router_streams.max(peak.streams);
+            self.router_memory_bytes = self.router_memory_bytes.max(peak.memory_bytes);
+            self.router_threads = self.router_threads.max(peak.threads);
+        }
+        let mut audit_bytes = 0;
+        let mut audit_batches = 0;
+        for (before, after) in observed.routers_before.iter().zip(&observed.routers_after) {
+            let cpu = after.cpu_s.saturating_sub(before.cpu_s) as f64 / seconds;
+            self.router_core_part = self.router_core_part.max(cpu);
+            audit_bytes += after.audit_bytes.saturating_sub(before.audit_bytes);
+            audit_batches += after.audit_batches.saturating_sub(before.audit_batches);
+        }
+        self.audit_bytes_per_request = audit_bytes as f64 / self.requests.max(1) as f64;
+        self.audit_batches_per_s = audit_batches as f64 / seconds;
+    }
 }
 
 fn timeline_point(window: &SlotWindow) -> TimelinePoint {
--- a/crates/standin/src/site/layout.rs
+++ b/crates/standin/src/site/layout.rs
@@ -2,7 +2,7 @@
 
 use {super::Site, std::net::SocketAddr};
 
-/// Routers of a site.
+/// Routers of a site at the size of today.
 pub const ROUTERS: usize = 6;
 /// Engines of a site.
 pub const ENGINES: usize = 18;
@@ -39,19 +39,32 @@
 pub struct Layout {
     /// The site.
     pub site: Site,
+    /// Number of its routers.
+    pub routers: usize,
 }
 
 impl Layout {
-    /// Lays a site out.
+    /// Lays a site out at the size of today.
     #[must_use]
     pub fn new(site: Site) -> Self {
-        Self { site }
+        Self::with_routers(site, ROUTERS)
+    }
+
+    /// Lays a site out with another number of routers. These reach each other directly, for want
+    /// of ports for a link between any two.
+    #[must_use]
+    pub fn with_routers(site: Site, routers: usize) -> Self {
+        Self { site, routers }
+    }
+
+    fn is_direct(&self) -> bool {
+        self.routers != ROUTERS
     }
 
     /// Domain of a router.
     #[must_use]
     pub fn router_domain(&self, router: usize) -> &'static str {
-        self.site.domains[router / (ROUTERS / DOMAINS)]
+        self.site.domains[router * DOMAINS / self.routers]
     }
 
     /// Domain of an engine.
@@ -87,19 +100,19 @@
     /// Callers' address of a router.
     #[must_use]
     pub fn callers(&self, router: usize) -> SocketAddr {
-        self.at(10 + router)
+        self.at(1000 + router)
     }
 
     /// Operators' address of a router.
     #[must_use]
     pub fn admin(&self, router: usize) -> SocketAddr {
-        self.at(20 + router)
+        self.at(1100 + router)
     }
 
     /// Peer address of a router.
     #[must_use]
     pub fn peer(&self, router: usize) -> SocketAddr {
-        self.at(30 + router)
+        self.at(1200 + router)
     }
 
     /// Address of an engine.
@@ -117,7 +130,7 @@
     /// Address at which one router reaches another.
     #[must_use]
     pub fn peer_from(&self, from: usize, to: usize) -> SocketAddr {
-        if self.router_domain(from) == self.router_domain(to) {
+        if self.is_direct() || self.router_domain(from) == self.router_domain(to) {
             self.peer(to)
         } else {
             self.at(200 + from * 10 + to)
@@ -127,7 +140,7 @@
     /// Address at which a domain reaches an engine.
     #[must_use]
     pub fn engine_from(&self, domain: usize, engine: usize) -> SocketAddr {
-        if self.site.domains[domain] == self.engine_domain(engine) {
+        if self.is_direct() || self.site.domains[domain] == self.engine_domain(engine) {
             self.engine(engine)
         } else {
             self.at(300 + domain * 40 + engine)
--- a/crates/standin/src/site/render.rs
+++ b/crates/standin/src/site/render.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Layout, Options,
-        layout::{ENGINES, ROUTERS, SERVICES},
+        layout::{ENGINES, SERVICES},
     },
     crate::StandinError,
     std::path::Path,
@@ -29,7 +29,7 @@
     };
     std::fs::create_dir_all(directory)
         .map_err(|error| StandinError::File(directory.display().to_string(), error.to_string()))?;
-    for router in 0..ROUTERS {
+    for router in 0..layout.routers {
         let name = format!("router-{}.ini", router + 1);
         file(&name, router_settings(layout, options, router))?;
     }
@@ -61,7 +61,7 @@
     line!(text, "dispatch = {}", options.dispatch);
     line!(text, "\n[platform]");
     line!(text, "address = {}", layout.platform());
-    for peer in (0..ROUTERS).filter(|peer| *peer != router) {
+    for peer in (0..layout.routers).filter(|peer| *peer != router) {
         line!(text, "\n[peer.{}]", layout.router_name(peer));
         line!(text, "domain = {}", layout.router_domain(peer));
         line!(text, "address = {}", layout.peer_from(router, peer));
@@ -104,8 +104,8 @@
         line!(text, "jitter = {}ms", layout.site.delay_ms.div_ceil(2));
         line!(text, "loss_percent = {}", options.loss_percent);
     };
-    for from in 0..ROUTERS {
-        for to in 0..ROUTERS {
+    for from in 0..layout.routers {
+        for to in 0..layout.routers {
             let listen = layout.peer_from(from, to);
             if listen != layout.peer(to) {
                 let domains = (layout.router_domain(from), layout.router_domain(to));
--- a/try.sh
+++ b/try.sh
@@ -4,6 +4,7 @@
 #   ./try.sh [caroni|cascadia] [trace file]
 #
 # DISPATCH=shares runs the baseline dispatch. FAULT names a script that is run beside the replay.
+# ROUTERS and SLOTS change the number of routers and of the slots of each engine.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -11,6 +12,8 @@
 trace=${2:-traces/$site.jsonl}
 dispatch=${DISPATCH:-grants}
 fault=${FAULT:-}
+routers=${ROUTERS:-6}
+slots=${SLOTS:-12}
 out=target/try
 run=$out/$site
 bin=target/release
@@ -45,7 +48,8 @@
 
 rm -rf "$run"
 mkdir -p "$run"
-"$bin/baobab-standin" layout --site "$site" --directory "$run" --dispatch "$dispatch"
+"$bin/baobab-standin" layout --site "$site" --directory "$run" --dispatch "$dispatch" \
+    --routers "$routers" --slots "$slots"
 
 start platform "$bin/baobab-standin" platform --address "127.0.0.1:$base"
 start link "$bin/baobab-standin" link --conf "$run/link.ini"
@@ -53,7 +57,7 @@
     start "engines-$domain" "$bin/baobab-standin" engine --conf "$run/engines-$domain.ini"
     start "service-$domain" "$bin/baobab-standin" service --address "127.0.0.1:$((base + 139 + domain))"
 done
-for router in 1 2 3 4 5 6; do
+for ((router = 1; router <= routers; router++)); do
     start "router-$router" "$bin/baobab-router" --conf "$run/router-$router.ini"
 done
 
@@ -68,4 +72,5 @@
 if [ -n "$fault" ]; then
     start fault bash "$fault" "$run" "$base"
 fi
-"$bin/baobab-load" replay --site "$site" --trace "$trace" --report "$out/report.json"
+"$bin/baobab-load" replay --site "$site" --trace "$trace" --routers "$routers" \
+    --report "$out/report.json"
