--- a/crates/fair/src/backlog.rs
+++ b/crates/fair/src/backlog.rs
@@ -81,10 +81,8 @@
 
     fn forget_idle(&mut self, now: Duration, candidates: &[Candidate], tuning: &Tuning) {
         for (workspace, entry) in &mut self.entries {
-            let waits = candidates
-                .iter()
-                .any(|candidate| candidate.workspace == *workspace);
-            if !waits {
+            let found = candidates.binary_search_by_key(workspace, |candidate| candidate.workspace);
+            if found.is_err() {
                 entry.waiting_since = None;
             }
             if entry
--- a/crates/fair/src/dispatcher.rs
+++ b/crates/fair/src/dispatcher.rs
@@ -8,13 +8,13 @@
         backlog::Backlogs,
         engines::Engines,
         peers::Peers,
-        ranking::{Candidate, Choice, Offer, Ranking},
+        ranking::{Candidate, Choice, Offer, Order, Ranking},
         revoking::{Chosen, Revoking},
         routers::{RouterView, Routers, Tally},
         standing::Standing,
         told::Told,
     },
-    baobab_unit::{HostId, Incarnation, ModelId, PoolId, Sequence, Token, WorkspaceId},
+    baobab_unit::{HostId, Incarnation, ModelId, PoolId, Sequence, Token, WorkspaceId, to_u32},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -81,6 +81,8 @@
     incarnation: Incarnation,
     tuning: Tuning,
     started: Duration,
+    decided: Duration,
+    offers: u32,
     weights: BTreeMap<WorkspaceId, u32>,
     engines: Engines,
     routers: Routers,
@@ -118,6 +120,8 @@
             incarnation,
             tuning,
             started: now,
+            decided: now,
+            offers: 0,
             weights: BTreeMap::new(),
             engines,
             routers: Routers::default(),
@@ -228,7 +232,8 @@
         self.measure_rate(now);
         self.anticipated.update(now, self.peers.count(self.model));
         self.standing.update(now, self.routers.tallies());
-        if now >= self.started + self.tuning.settle {
+        if now >= self.started + self.tuning.settle && self.is_decision_due(now) {
+            self.decided = now;
             self.decide(now);
         }
         let mut actions = std::mem::take(&mut self.pending);
@@ -320,8 +325,23 @@
             + self.peers.projected(now, workspace, self.tuning.lookahead)
     }
 
+    /// With no slot free, decisions only keep track of backlogs and take slots back. Large pools
+    /// decide less often, so that what they cost stays the same part of a core.
+    fn is_decision_due(&self, now: Duration) -> bool {
+        if self.engines.free_total(&self.routers) == 0 {
+            return now >= self.decided + self.tuning.idle_round;
+        }
+        now >= self.decided + self.tuning.round_for_each_offer * self.offers
+    }
+
     fn decide(&mut self, now: Duration) {
         let mut ranking = self.rank(now);
+        let offers = ranking
+            .candidates
+            .iter()
+            .map(|entry| entry.offers.len())
+            .sum();
+        self.offers = to_u32(offers);
         self.lift(now, &mut ranking);
         self.grant_slots(now, &mut ranking);
         self.revoke(now, &ranking);
@@ -359,20 +379,34 @@
     }
 
     fn grant_slots(&mut self, now: Duration, ranking: &mut Ranking) {
-        let mut free = self.engines.free_total(&self.routers);
-        while free > 0 {
-            let urgent_only = free <= self.tuning.urgent_reserve_slots;
-            let Some(choice) = ranking.choose(urgent_only) else {
+        let free = self.engines.free_total(&self.routers);
+        let reserve = self.tuning.urgent_reserve_slots;
+        self.give(now, ranking, false, free.saturating_sub(reserve));
+        self.give(now, ranking, true, free.min(reserve));
+    }
+
+    fn give(&mut self, now: Duration, ranking: &mut Ranking, urgent_only: bool, slots: u32) {
+        if slots == 0 {
+            return;
+        }
+        let mut order = ranking.order(urgent_only);
+        for _ in 0..slots {
+            let Some(choice) = ranking.choose(&mut order) else {
                 return;
             };
-            if !self.grant(now, ranking, choice) {
+            if !self.grant(now, ranking, &mut order, choice) {
                 return;
             }
-            free -= 1;
         }
     }
 
-    fn grant(&mut self, now: Duration, ranking: &mut Ranking, choice: Choice) -> bool {
+    fn grant(
+        &mut self,
+        now: Duration,
+        ranking: &mut Ranking,
+        order: &mut Order,
+        choice: Choice,
+    ) -> bool {
         let candidate = &ranking.candidates[choice.candidate];
         let workspace = candidate.workspace;
         let offer = candidate.offers[choice.offer];
@@ -396,7 +430,7 @@
         self.status.granted += 1;
         let peers = self.peers.count(self.model);
         self.anticipated.add(now, workspace);
-        ranking.take(choice, self.charge_ahead() * f64::from(1 + peers));
+        ranking.take(order, choice, self.charge_ahead() * f64::from(1 + peers));
         true
     }
 
@@ -512,6 +546,9 @@
     }
 
     fn send_news(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if !self.told.is_spaced(now, &self.tuning) {
+            return;
+        }
         let rows = self.news_rows();
         let share_rate = self.share_rate();
         let due = self.told.due(
@@ -524,6 +561,7 @@
         if due.is_empty() {
             return;
         }
+        let due = due.into_iter().map(|row| self.with_router(row)).collect();
         self.news_number += 1;
         actions.push(Action::News(News {
             pool: self.pool,
@@ -561,25 +599,27 @@
                     running: tally.running + tally.outstanding,
                     waiting_urgent: standing.urgent,
                     waiting: standing.other,
-                    router: self.fullest_router(*workspace, *tally),
+                    router: 0,
                 };
                 Some((row, weight))
             })
             .collect()
     }
 
-    fn fullest_router(&self, workspace: WorkspaceId, tally: Tally) -> HostId {
-        if tally.waiting_total() == 0 {
-            return 0;
+    /// Names the router where most of the workspace's requests wait.
+    fn with_router(&self, row: NewsRow) -> NewsRow {
+        if row.waiting + row.waiting_urgent == 0 {
+            return row;
         }
-        self.routers
+        let fullest = self
+            .routers
             .views()
-            .filter_map(|(host, view)| {
-                let row = view.workspaces().find(|row| row.workspace == workspace)?;
-                Some((row.waiting + row.waiting_urgent, host))
-            })
-            .max()
-            .map_or(0, |(_, host)| host)
+            .filter_map(|(host, view)| Some((view.waiting_of(row.workspace)?, host)))
+            .max();
+        NewsRow {
+            router: fullest.map_or(0, |(_, host)| host),
+            ..row
+        }
     }
 }
 
--- a/crates/fair/src/ranking.rs
+++ b/crates/fair/src/ranking.rs
@@ -2,7 +2,10 @@
 
 use {
     baobab_unit::{HostId, PoolId, WorkspaceId},
-    std::cmp::Ordering,
+    std::{
+        cmp::{Ordering, Reverse},
+        collections::BinaryHeap,
+    },
 };
 
 /// Requests that wait on one router, less the grants under way to it.
@@ -59,7 +62,7 @@
 /// The candidates of one round of grants.
 #[derive(Debug, Default)]
 pub struct Ranking {
-    /// Every workspace with waiting requests.
+    /// Every workspace with waiting requests, in the order of their identifiers.
     pub candidates: Vec<Candidate>,
     /// Tokens over weight that an urgent request may go ahead.
     pub urgent_credit: f64,
@@ -77,27 +80,32 @@
             .min_by(f64::total_cmp)
     }
 
-    /// Chooses who receives the next slot.
+    /// Puts the candidates in order for grants; with `urgent_only`, just those that may use the
+    /// slots kept for urgent requests.
     #[must_use]
-    pub fn choose(&self, urgent_only: bool) -> Option<Choice> {
-        let limit = self.lowest()? + self.urgent_credit;
-        let mut best: Option<(f64, Choice)> = None;
-        for (index, candidate) in self.candidates.iter().enumerate() {
-            if urgent_only && candidate.position > limit {
-                continue;
-            }
-            let Some((key, choice)) = self.best_offer(index, candidate, urgent_only) else {
-                continue;
-            };
-            if best.is_none_or(|(lowest, _)| key.total_cmp(&lowest) == Ordering::Less) {
-                best = Some((key, choice));
-            }
+    pub fn order(&self, urgent_only: bool) -> Order {
+        let mut order = Order {
+            heap: BinaryHeap::with_capacity(self.candidates.len()),
+            urgent_only,
+            limit: f64::INFINITY,
+        };
+        if let (true, Some(lowest)) = (urgent_only, self.lowest()) {
+            order.limit = lowest + self.urgent_credit;
+        }
+        for index in 0..self.candidates.len() {
+            self.queue(&mut order, index);
         }
-        best.map(|(_, choice)| choice)
+        order
+    }
+
+    /// Chooses who receives the next slot.
+    #[must_use]
+    pub fn choose(&self, order: &mut Order) -> Option<Choice> {
+        order.heap.pop().map(|Reverse(entry)| entry.choice)
     }
 
     /// Takes one request out of the chosen offer and charges `tokens` for it.
-    pub fn take(&mut self, choice: Choice, tokens: f64) {
+    pub fn take(&mut self, order: &mut Order, choice: Choice, tokens: f64) {
         let candidate = &mut self.candidates[choice.candidate];
         candidate.position += tokens / candidate.weight;
         let offer = &mut candidate.offers[choice.offer];
@@ -106,14 +114,21 @@
         } else {
             offer.other = offer.other.saturating_sub(1);
         }
+        self.queue(order, choice.candidate);
+    }
+
+    fn queue(&self, order: &mut Order, index: usize) {
+        let candidate = &self.candidates[index];
+        if candidate.position > order.limit {
+            return;
+        }
+        order.heap.extend(
+            self.best_offer(index, candidate, order.urgent_only)
+                .map(Reverse),
+        );
     }
 
-    fn best_offer(
-        &self,
-        index: usize,
-        candidate: &Candidate,
-        urgent_only: bool,
-    ) -> Option<(f64, Choice)> {
+    fn best_offer(&self, index: usize, candidate: &Candidate, urgent_only: bool) -> Option<Entry> {
         let (offer_index, offer) = candidate
             .offers
             .iter()
@@ -138,6 +153,41 @@
             offer: offer_index,
             urgent_only,
         };
-        Some((key, choice))
+        Some(Entry { key, choice })
+    }
+}
+
+/// The order of the candidates, kept while slots are given.
+#[derive(Debug)]
+pub struct Order {
+    heap: BinaryHeap<Reverse<Entry>>,
+    urgent_only: bool,
+    limit: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    key: f64,
+    choice: Choice,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_key = self.key.total_cmp(&other.key);
+        by_key.then(self.choice.candidate.cmp(&other.choice.candidate))
     }
 }
--- a/crates/fair/src/routers.rs
+++ b/crates/fair/src/routers.rs
@@ -62,6 +62,7 @@
     engines: BTreeMap<EngineId, EngineRow>,
     next_grant: Sequence,
     outstanding: BTreeMap<Sequence, Outstanding>,
+    granted: BTreeMap<WorkspaceId, u32>,
     answer_due: Option<Duration>,
     is_unresponsive: bool,
 }
@@ -109,12 +110,13 @@
 
     /// Grants to a workspace that are not yet answered.
     pub fn outstanding_for(&self, workspace: WorkspaceId) -> u32 {
-        let count = self
-            .outstanding
-            .values()
-            .filter(|entry| entry.grant.workspace == workspace)
-            .count();
-        baobab_unit::to_u32(count)
+        self.granted.get(&workspace).copied().unwrap_or_default()
+    }
+
+    /// Requests of a workspace that wait here, if it is known here.
+    pub fn waiting_of(&self, workspace: WorkspaceId) -> Option<u32> {
+        let row = self.workspaces.get(&workspace)?;
+        Some(row.waiting + row.waiting_urgent)
     }
 
     /// Takes the grants that are due to be sent: new ones, and unanswered ones again.
@@ -249,6 +251,7 @@
                 sent: Duration::ZERO,
             },
         );
+        *view.granted.entry(grant.workspace).or_default() += 1;
         if view.heard.is_zero() {
             view.heard = now;
         }
@@ -261,7 +264,12 @@
     /// Their routers get no further ones until they report again.
     pub fn reclaim(&mut self, now: Duration, after: Duration) -> u32 {
         let mut count = 0;
-        let hosts: Vec<HostId> = self.views.keys().copied().collect();
+        let hosts: Vec<HostId> = self
+            .views
+            .iter()
+            .filter(|(_, view)| !view.outstanding.is_empty())
+            .map(|(host, _)| *host)
+            .collect();
         for host in hosts {
             let reclaimed = self.resolve(host, |entry| now >= entry.issued + after);
             if let (true, Some(view)) = (reclaimed > 0, self.views.get_mut(&host)) {
@@ -433,6 +441,9 @@
             .collect();
         for grant in &over {
             view.outstanding.remove(&grant.number);
+            if let Some(granted) = view.granted.get_mut(&grant.workspace) {
+                *granted -= 1;
+            }
             if let Some(granted) = self.granted.get_mut(&grant.engine) {
                 *granted -= 1;
             }
--- a/crates/fair/src/told.rs
+++ b/crates/fair/src/told.rs
@@ -22,6 +22,12 @@
 }
 
 impl Told {
+    /// Tells whether the last message is long enough ago.
+    pub fn is_spaced(&self, now: Duration, tuning: &Tuning) -> bool {
+        self.sent
+            .is_none_or(|sent| now >= sent + tuning.news_spacing)
+    }
+
     /// Returns the rows that peers should be told now; each comes with its workspace's weight.
     ///
     /// `share_rate` is the tokens a second that one unit of weight is due. An empty list means
@@ -34,12 +40,6 @@
         share_rate: f64,
         tuning: &Tuning,
     ) -> Vec<NewsRow> {
-        if self
-            .sent
-            .is_some_and(|sent| now < sent + tuning.news_spacing)
-        {
-            return Vec::new();
-        }
         let refresh = self
             .refreshed
             .is_none_or(|refreshed| now >= refreshed + tuning.news_refresh);
--- a/crates/fair/src/tuning.rs
+++ b/crates/fair/src/tuning.rs
@@ -62,6 +62,10 @@
     pub settle: Duration,
     /// Time without a report after which a router's rows are dropped.
     pub router_silence: Duration,
+    /// Time between two rounds of decisions while no slot is free.
+    pub idle_round: Duration,
+    /// Time between two rounds for each workspace that waits on a router.
+    pub round_for_each_offer: Duration,
     /// Slots of the pool kept for urgent requests.
     pub urgent_reserve_slots: u32,
 }
@@ -86,6 +90,8 @@
             backlog_after: Duration::from_millis(250),
             settle: Duration::from_millis(300),
             router_silence: Duration::from_secs(3),
+            idle_round: Duration::from_millis(50),
+            round_for_each_offer: Duration::from_micros(5),
             urgent_reserve_slots: 1,
         }
     }
--- a/crates/load/src/slopes/decisions.rs
+++ b/crates/load/src/slopes/decisions.rs
@@ -3,10 +3,14 @@
 use {
     super::Table,
     baobab_fair::{
-        Dispatcher, EngineRow, EngineSlots, Ledger, PoolState, Reporter, StreamRow, Tuning,
-        WorkspaceRow, WorkspaceWeight,
+        Action, Dispatcher, EngineRow, EngineSlots, Grants, Ledger, PoolState, Reporter, StreamRow,
+        Tuning, WorkspaceRow, WorkspaceWeight,
+    },
+    baobab_unit::{EngineId, WorkspaceId},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
     },
-    std::time::{Duration, Instant},
 };
 
 const WORKSPACES: [u32; 5] = [16, 50, 150, 500, 1500];
@@ -17,6 +21,10 @@
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(10);
 const ROUNDS: u32 = 200;
+/// Rounds until all slots are in use.
+const WARM_UP_ROUNDS: u32 = 100;
+/// Rounds that a stream lasts.
+const STREAM_ROUNDS: u32 = 500;
 const DISPATCHER: u32 = 1_000_000;
 
 /// The size of a pool.
@@ -36,6 +44,7 @@
 
 /// Measures all.
 pub fn measure() -> Vec<Table> {
+    // A pool of today's plan: 600 engines are 8 models in 6 domains, 350 nodes are 58 a domain.
     let standard = Size {
         workspaces: 150,
         routers: 58,
@@ -87,17 +96,18 @@
     vec![rounds, reports, memory]
 }
 
-/// A router whose state is made up: every workspace waits, and its streams are spread evenly.
+/// A router whose state is made up: every workspace waits, and a part of its streams ends in each
+/// round.
 struct Driven {
     host: u32,
     reporter: Reporter,
     tokens: u64,
+    running: BTreeMap<(EngineId, WorkspaceId), u32>,
 }
 
 impl Driven {
     fn state(&mut self, size: Size) -> PoolState {
         self.tokens += 3;
-        let streams = size.engines.min(480);
         PoolState {
             workspaces: (0..size.workspaces)
                 .map(|workspace| WorkspaceRow {
@@ -107,11 +117,13 @@
                     tokens: self.tokens,
                 })
                 .collect(),
-            streams: (0..streams)
-                .map(|engine| StreamRow {
-                    engine,
-                    workspace: (engine + self.host) % size.workspaces,
-                    running: 1,
+            streams: self
+                .running
+                .iter()
+                .map(|((engine, workspace), running)| StreamRow {
+                    engine: *engine,
+                    workspace: *workspace,
+                    running: *running,
                 })
                 .collect(),
             engines: (0..size.engines)
@@ -124,6 +136,24 @@
             is_home: true,
         }
     }
+
+    fn receive(&mut self, now: Duration, grants: &Grants) {
+        let received = self.reporter.on_grants(now, DISPATCHER, 1, 1, grants);
+        for grant in received.grants {
+            let slot = (grant.engine, grant.workspace);
+            *self.running.entry(slot).or_default() += 1;
+        }
+    }
+
+    /// Ends the streams whose turn it is in this round.
+    fn end_streams(&mut self, round: u32) {
+        for (index, running) in (0_u32..).zip(self.running.values_mut()) {
+            if (index + round).is_multiple_of(STREAM_ROUNDS) {
+                *running = running.saturating_sub(1);
+            }
+        }
+        self.running.retain(|_, running| *running > 0);
+    }
 }
 
 fn drive(size: Size) -> Cost {
@@ -138,28 +168,41 @@
                 host,
                 reporter,
                 tokens: 0,
+                running: BTreeMap::new(),
             }
         })
         .collect();
     let mut report_time = Duration::ZERO;
     let mut reports = 0_u32;
     let mut round_time = Duration::ZERO;
-    for _ in 0..ROUNDS {
+    for round in 0..WARM_UP_ROUNDS + ROUNDS {
         now += ROUND;
+        let is_measured = round >= WARM_UP_ROUNDS;
         for router in &mut routers {
+            router.end_streams(round);
             let state = router.state(size);
             let Some(report) = router.reporter.report(now, state) else {
                 continue;
             };
             let started = Instant::now();
             dispatcher.on_report(now, router.host, 1, &report);
-            report_time += started.elapsed();
-            reports += 1;
+            if is_measured {
+                report_time += started.elapsed();
+                reports += 1;
+            }
         }
         let started = Instant::now();
         let actions = dispatcher.tick(now);
-        round_time += started.elapsed();
-        drop(actions);
+        if is_measured {
+            round_time += started.elapsed();
+        }
+        for action in actions {
+            if let Action::Grants { to, grants } = action
+                && let Some(router) = routers.iter_mut().find(|router| router.host == to)
+            {
+                router.receive(now, &grants);
+            }
+        }
     }
     let memory = resident_bytes().saturating_sub(before);
     Cost {
