--- a/capacity.sh
+++ b/capacity.sh
@@ -12,19 +12,29 @@
 bin=target/release
 "$bin/baobab-load" generate --site caroni --length-s 8 --out "$out/caroni.jsonl"
 
+failed=0
+replay() { # report, then settings as VARIABLE=value
+    local report=$1
+    shift
+    if ! env "$@" ./try.sh caroni "$out/caroni.jsonl" >"${report%.json}.txt"; then
+        echo "a promise broke: see ${report%.json}.txt" >&2
+        failed=1
+    fi
+    cp target/try/report.json "$report"
+}
+
 by_routers=
 for routers in 6 12 24 48; do
-    ROUTERS=$routers ./try.sh caroni "$out/caroni.jsonl" >"$out/routers-$routers.txt"
-    cp target/try/report.json "$out/routers-$routers.json"
+    replay "$out/routers-$routers.json" ROUTERS="$routers"
     by_routers+=${by_routers:+,}$routers:$out/routers-$routers.json
 done
 
 by_streams=
 for slots in 3 7 14 28; do
-    ROUTERS=1 SLOTS=$slots ./try.sh caroni "$out/caroni.jsonl" >"$out/slots-$slots.txt"
-    cp target/try/report.json "$out/slots-$slots.json"
+    replay "$out/slots-$slots.json" ROUTERS=1 SLOTS="$slots"
     by_streams+=${by_streams:+,}$((slots * 18)):$out/slots-$slots.json
 done
 
 "$bin/baobab-load" slopes --directory "$out" \
     --reports "routers=$by_routers" --reports "streams on one router=$by_streams"
+exit "$failed"
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -111,8 +111,9 @@
                 .bytes(body.clone().into_bytes())
                 .send()
         });
-        let Some(response) = response else {
-            return Ending::Incomplete;
+        let response = match response {
+            Ok(response) => response,
+            Err(reason) => return Ending::Incomplete(reason),
         };
         if !response.is_success() {
             return refusal(response);
@@ -141,8 +142,9 @@
         let mut last = sent;
         let mut received = 0;
         for line in BufReader::new(reader).lines() {
-            let Ok(line) = line else {
-                return Ending::Incomplete;
+            let line = match line {
+                Ok(line) => line,
+                Err(error) => return Ending::Incomplete(error.to_string()),
             };
             let Some(data) = line.strip_prefix("data: ") else {
                 continue;
@@ -167,15 +169,16 @@
                     last = now;
                     received += 1;
                 }
-                Err(_) => return Ending::Incomplete,
+                Err(_) => return Ending::Incomplete(data.to_owned()),
             }
         }
-        Ending::Incomplete
+        Ending::Incomplete(format!("ended after {received} tokens"))
     }
 
     fn read_whole(&self, response: Response, expected: &Generator) -> Ending {
-        let Ok(bytes) = response.bytes() else {
-            return Ending::Incomplete;
+        let bytes = match response.bytes() {
+            Ok(bytes) => bytes,
+            Err(error) => return Ending::Incomplete(error.to_string()),
         };
         let Ok(body) = serde_json::from_slice::<CompletionBody>(&bytes) else {
             return Ending::Wrong;
@@ -210,8 +213,9 @@
             }
             request.bytes(body.clone().into_bytes()).send()
         });
-        let Some(response) = response else {
-            return Ending::Incomplete;
+        let response = match response {
+            Ok(response) => response,
+            Err(reason) => return Ending::Incomplete(reason),
         };
         if !response.is_success() {
             return refusal(response);
@@ -221,20 +225,24 @@
                 Ending::Right
             }
             Ok(_) => Ending::Wrong,
-            Err(_) => Ending::Incomplete,
+            Err(error) => Ending::Incomplete(error.to_string()),
         }
     }
 
     /// Sends to the first router that takes the connection, as a balancer does.
-    fn send(&self, send: impl Fn(SocketAddr) -> attohttpc::Result<Response>) -> Option<Response> {
+    fn send(
+        &self,
+        send: impl Fn(SocketAddr) -> attohttpc::Result<Response>,
+    ) -> Result<Response, String> {
+        let mut reason = String::new();
         for address in self.routers {
             match send(*address) {
-                Ok(response) => return Some(response),
-                Err(error) if is_refused(&error) => {}
-                Err(_) => return None,
+                Ok(response) => return Ok(response),
+                Err(error) if is_refused(&error) => reason = error.to_string(),
+                Err(error) => return Err(error.to_string()),
             }
         }
-        None
+        Err(reason)
     }
 
     fn request(&self, method: Method, address: SocketAddr, path: &str) -> RequestBuilder {
@@ -260,8 +268,9 @@
 }
 
 fn refusal(response: Response) -> Ending {
-    let Ok(bytes) = response.bytes() else {
-        return Ending::Incomplete;
+    let bytes = match response.bytes() {
+        Ok(bytes) => bytes,
+        Err(error) => return Ending::Incomplete(error.to_string()),
     };
     match serde_json::from_slice::<ProblemBody>(&bytes) {
         Ok(problem) => Ending::Refused(Refusal {
--- a/crates/load/src/recorder.rs
+++ b/crates/load/src/recorder.rs
@@ -19,8 +19,8 @@
     Right,
     /// Complete and not as expected.
     Wrong,
-    /// It ended early and said so, or the connection broke.
-    Incomplete,
+    /// It ended early and said so, or the connection broke, for this reason.
+    Incomplete(String),
     /// Refused with a problem.
     Refused(Refusal),
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -61,6 +61,8 @@
     pub answers_wrong: u64,
     /// Requests whose answer broke off.
     pub answers_incomplete: u64,
+    /// Why answers broke off.
+    pub incomplete: BTreeMap<String, u64>,
     /// Requests left out because too many were open.
     pub left_out: u64,
     /// Requests still open at the end.
@@ -208,7 +210,10 @@
             match ending {
                 Ending::Right => self.answers_right += 1,
                 Ending::Wrong => self.answers_wrong += 1,
-                Ending::Incomplete => self.answers_incomplete += 1,
+                Ending::Incomplete(reason) => {
+                    self.answers_incomplete += 1;
+                    *self.incomplete.entry(reason.clone()).or_default() += 1;
+                }
                 Ending::Refused(refusal) => {
                     *self.refused.entry(refusal.code.clone()).or_default() += 1;
                     let ran_chat = observed.ran_requests.contains(&refusal.request_id);
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -14,6 +14,7 @@
     stats: EngineStats,
     counted: Instant,
     prefixes: VecDeque<u32>,
+    running: BTreeSet<String>,
     cancelled: BTreeSet<String>,
     ran: BTreeSet<String>,
     slowdown: f64,
@@ -44,6 +45,7 @@
                 stats,
                 counted: now,
                 prefixes: VecDeque::new(),
+                running: BTreeSet::new(),
                 cancelled: BTreeSet::new(),
                 ran: BTreeSet::new(),
                 slowdown: 1.0,
@@ -57,6 +59,7 @@
         let prefix = baobab_unit::id_of(&prompt.chars().take(256).collect::<String>());
         let mut state = self.count();
         state.ran.insert(id.to_owned());
+        state.running.insert(id.to_owned());
         state.stats.running += 1;
         state.stats.started += 1;
         state.stats.resumed += u64::from(offset > 0);
@@ -80,6 +83,7 @@
         state.stats.running -= 1;
         state.stats.cancelled += u64::from(!complete);
         state.cancelled.remove(id);
+        state.running.remove(id);
     }
 
     /// Counts a token and returns the time until the next one.
@@ -90,9 +94,12 @@
         step.mul_f64(state.slowdown)
     }
 
-    /// Marks a stream as to be stopped.
+    /// Marks a stream as to be stopped, if it runs: the request may be resumed here later.
     pub fn cancel(&self, id: &str) {
-        self.lock().cancelled.insert(id.to_owned());
+        let mut state = self.lock();
+        if state.running.contains(id) {
+            state.cancelled.insert(id.to_owned());
+        }
     }
 
     /// Tells whether a stream is to be stopped.
