Order engines to serve their declared version, from one host with a lease

Ruled out: an expiry time in the row (it trusts clocks of other hosts); orders by dispatchers (two of a pool may be at work for a moment). Change: crate orders (lease and plan as state machines), a thread in the router, a declared version; tests with a scripted engine that does seven things wrong. Conclusion: versions are ordered by one host; adapters and roles are not built.

--- a/bin/router/tests/support/mod.rs
+++ b/bin/router/tests/support/mod.rs
@@ -273,7 +273,11 @@
 
 /// Waits for something that must come; how long it takes is not judged.
 pub fn wait_until(what: &str, is_so: impl Fn() -> bool) {
-    let deadline = Instant::now() + PATIENCE;
+    wait_at_most(PATIENCE, what, is_so);
+}
+
+pub fn wait_at_most(patience: Duration, what: &str, is_so: impl Fn() -> bool) {
+    let deadline = Instant::now() + patience;
     while !is_so() {
         assert!(Instant::now() < deadline, "never: {what}");
         thread::sleep(Duration::from_millis(20));
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -60,6 +60,17 @@
         /// What the caller was told.
         verdict: String,
     },
+    /// An engine was ordered to serve a version.
+    Ordered {
+        /// Engine.
+        engine: String,
+        /// Version.
+        version: String,
+        /// Fencing number.
+        fencing: u64,
+        /// Whether the engine took it.
+        taken: bool,
+    },
     /// A configuration came into force.
     Configured {
         /// Version.
--- a/crates/conf/src/declarations/model.rs
+++ b/crates/conf/src/declarations/model.rs
@@ -51,6 +51,8 @@
     pub address: SocketAddr,
     /// Streams that it serves at the same time.
     pub slots: u32,
+    /// Version of its model that it shall serve; `None` leaves it as it is.
+    pub version: Option<String>,
     /// Whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
 }
--- a/crates/conf/src/declarations/parse.rs
+++ b/crates/conf/src/declarations/parse.rs
@@ -172,6 +172,7 @@
         domain: section.text("domain", findings),
         address: section.address("address", findings),
         slots: section.value("slots", 8, "a number of streams", findings),
+        version: section.take("version").map(|entry| entry.value),
         checks_fencing: section.flag("checks_fencing", false, findings),
     };
     for entry in model {
--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        CallOutcome, CallRequest, EngineClient, EngineError, Generation, Piece, ServiceClient,
-        TokenStream, parse_event,
+        CallOutcome, CallRequest, EngineClient, EngineError, EngineOrder, Generation, OrderClient,
+        Piece, ServiceClient, TokenStream, parse_event,
     },
     attohttpc::{ErrorKind, Method, RequestBuilder, Response, ResponseReader},
     std::{
@@ -109,6 +109,26 @@
     }
 }
 
+impl OrderClient for HttpBackend {
+    fn version(&self, address: SocketAddr) -> Option<String> {
+        let response = self
+            .request(Method::GET, format!("http://{address}/version"))
+            .send()
+            .ok()?;
+        if !response.is_success() {
+            return None;
+        }
+        response.text().ok()
+    }
+
+    fn order(&self, address: SocketAddr, order: &EngineOrder) -> bool {
+        self.request(Method::POST, format!("http://{address}/orders"))
+            .json(order)
+            .and_then(attohttpc::RequestBuilder::send)
+            .is_ok_and(|response| response.is_success())
+    }
+}
+
 #[derive(Debug)]
 struct HttpTokens {
     reader: BufReader<ResponseReader>,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 mod error;
 mod event;
 mod http;
+mod orders;
 mod stream;
 
 pub use {
@@ -11,5 +12,6 @@
     error::EngineError,
     event::{Piece, parse_event},
     http::{HttpBackend, Timeouts},
+    orders::{EngineOrder, OrderClient},
     stream::{EngineClient, Generation, TokenStream},
 };
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,7 @@
 use {
     crate::{config::ConfigCell, control::Command, journal::AuditLog, metrics::Metrics},
     baobab_conf::RouterConf,
-    baobab_engine::{EngineClient, ServiceClient},
+    baobab_engine::{EngineClient, OrderClient, ServiceClient},
     baobab_platform::Platform,
     baobab_unit::{Clock, Incarnation},
     flume::Sender,
@@ -39,6 +39,10 @@
     pub metrics: Metrics,
     /// Decisions for the auditor.
     pub audit: AuditLog,
+    /// The way to give orders to engines.
+    pub orders: Arc<dyn OrderClient>,
+    /// Whether this host is the one that shall give orders to engines.
+    pub is_orders_host: AtomicBool,
     /// Whether a planned stop has begun.
     pub draining: AtomicBool,
     /// Requests being answered.
@@ -55,6 +59,8 @@
     pub engines: Arc<dyn EngineClient>,
     /// The way to services.
     pub services: Arc<dyn ServiceClient>,
+    /// The way to give orders to engines.
+    pub orders: Arc<dyn OrderClient>,
     /// Commands to the control thread.
     pub commands: Sender<Command>,
     /// Counters.
@@ -82,6 +88,8 @@
             commands: parts.commands,
             metrics: parts.metrics,
             audit: parts.audit,
+            orders: parts.orders,
+            is_orders_host: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             reach,
--- a/crates/entry/src/control/thread.rs
+++ b/crates/entry/src/control/thread.rs
@@ -11,7 +11,7 @@
     },
     baobab_fleet::{Member, Membership},
     baobab_platform::{HostEntry, HostState},
-    baobab_unit::{HostId, id_of},
+    baobab_unit::{DomainId, HostId, PoolId, id_of},
     baobab_wire::{Heartbeat, Message, Packet},
     flume::{Receiver, RecvTimeoutError},
     std::{
@@ -36,6 +36,11 @@
 /// Time between two rounds after which the process must have been paused.
 const PAUSE_NOTICED: Duration = Duration::from_secs(1);
 
+/// Stands in for a pool where the host that gives orders is elected.
+const ORDERS_ROLE: PoolId = 0;
+/// A domain without hosts.
+const NO_DOMAIN: DomainId = 0;
+
 /// The control thread's state.
 pub struct Control {
     context: Arc<AppContext>,
@@ -311,6 +316,7 @@
         if now >= self.gauges_due {
             self.gauges_due = now + GAUGES;
             self.show();
+            self.elect_orders_host(now);
         }
     }
 
@@ -329,6 +335,13 @@
         }
     }
 
+    /// Notes whether this host is the one to give orders: one of the whole fleet, of any domain.
+    fn elect_orders_host(&self, now: Duration) {
+        let elected = self.membership.dispatcher(now, ORDERS_ROLE, NO_DOMAIN);
+        let is_own = elected == Some(id_of(&self.context.conf.host));
+        self.context.is_orders_host.store(is_own, Ordering::Relaxed);
+    }
+
     fn show(&self) {
         let metrics = &self.context.metrics;
         metrics.waiting.set(i64::from(self.queue.waiting()));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod journal;
 mod metrics;
+mod orders;
 mod router;
 
 pub use router::{Router, RouterError};
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -9,6 +9,7 @@
         control::{Command, Control, PeerSocket},
         journal::{AuditLog, now_ms},
         metrics::Metrics,
+        orders::spawn_orders,
     },
     baobab_audit::{Journal, audit_key},
     baobab_conf::RouterConf,
@@ -77,7 +78,8 @@
         let parts = Parts {
             platform,
             engines: Arc::clone(&backend) as _,
-            services: backend,
+            services: Arc::clone(&backend) as _,
+            orders: backend,
             commands,
             metrics,
             audit,
@@ -129,6 +131,7 @@
         Control::spawn(Arc::clone(context), received, socket, watcher)
             .map_err(|error| thread_error(&error))?;
         Watcher::spawn(Arc::clone(context), woken).map_err(|error| thread_error(&error))?;
+        spawn_orders(Arc::clone(context)).map_err(|error| thread_error(&error))?;
         spawn_admin(Arc::clone(context))
             .map_err(|error| bind_error("admin", conf.admin_address, &error))
     }
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -50,6 +50,12 @@
         OrderOutcome::Done
     }
 
+    /// Returns the version served.
+    #[must_use]
+    pub fn version(&self) -> &str {
+        &self.version
+    }
+
     /// Returns the orders carried out, in their order.
     #[must_use]
     pub fn carried_out(&self) -> &[Order] {
--- a/crates/standin/src/engine/server.rs
+++ b/crates/standin/src/engine/server.rs
@@ -18,6 +18,7 @@
 pub struct EngineServer {
     server: Server,
     batch: Arc<Batch>,
+    orders: Arc<Mutex<Orders>>,
 }
 
 impl EngineServer {
@@ -28,15 +29,19 @@
     /// Fails where its address can't be bound.
     pub fn spawn(conf: EngineConf) -> Result<Self, StandinError> {
         let address = conf.address;
-        let orders = Mutex::new(Orders::start(conf.checks_fencing));
+        let orders = Arc::new(Mutex::new(Orders::start(conf.checks_fencing)));
         let batch = Arc::new(Batch::start(conf));
         let handler = EngineHandler {
             batch: Arc::clone(&batch),
-            orders,
+            orders: Arc::clone(&orders),
         };
         let server = Server::bind(address, Limits::default(), handler)
             .map_err(|error| StandinError::Bind(address, error.to_string()))?;
-        Ok(Self { server, batch })
+        Ok(Self {
+            server,
+            batch,
+            orders,
+        })
     }
 
     /// Returns its address.
@@ -45,6 +50,13 @@
         self.server.address()
     }
 
+    /// Returns the orders that it has carried out.
+    #[must_use]
+    pub fn carried_out(&self) -> Vec<Order> {
+        let orders = self.orders.lock().unwrap_or_else(PoisonError::into_inner);
+        orders.carried_out().to_vec()
+    }
+
     /// Returns its batch.
     #[must_use]
     pub fn batch(&self) -> &Batch {
@@ -54,7 +66,7 @@
 
 struct EngineHandler {
     batch: Arc<Batch>,
-    orders: Mutex<Orders>,
+    orders: Arc<Mutex<Orders>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -77,6 +89,10 @@
                 let json = serde_json::to_vec(&self.batch.stats()).unwrap_or_default();
                 send(reply, 200, &json);
             }
+            ("GET", "/version") => {
+                let orders = self.orders.lock().unwrap_or_else(PoisonError::into_inner);
+                send(reply, 200, orders.version().as_bytes());
+            }
             ("GET", "/ran") => {
                 let json = serde_json::to_vec(&self.batch.ran()).unwrap_or_default();
                 send(reply, 200, &json);
