Split the dispatcher and the use of grants into files of one job each

Cause: reading as a newcomer: dispatcher.rs had 653 lines, dispatching.rs 536, routers.rs 456. Ruled out: moving behaviour; no line of logic is changed. Change: fair/src/dispatch/{action,dispatcher,estimate,granting,telling}.rs, router_view.rs, and in the router starting.rs; what a pool has to report moved beside the pool. Conclusion: the file of each decision is found by its name.

--- a/crates/entry/src/control/dispatching.rs
+++ b/crates/entry/src/control/dispatching.rs
@@ -2,35 +2,29 @@
 
 use {
     super::{
-        Go, Turn,
         health::Health,
         outbox::Outbox,
-        pool::{Pool, arrange, home_pool},
+        pool::{Pool, arrange, home_pool, pool_state},
         prefixes::Prefixes,
         queue::Queue,
-        streams::{Stream, Streams},
+        streams::Streams,
     },
     baobab_conf::{Declarations, DispatchMode, RouterConf},
     baobab_fair::{
-        Action, Dispatcher, DispatcherStatus, EngineRow, Grant, Grants, News, PoolState, Report,
-        Revocation, Shares, Tuning, Waiting, WorkspaceRow, WorkspaceWeight,
+        Action, Dispatcher, DispatcherStatus, Grant, Grants, News, Report, Revocation, Shares,
+        Tuning, WorkspaceWeight,
     },
     baobab_fleet::{Member, Membership},
-    baobab_unit::{DomainId, EngineId, HostId, Incarnation, ModelId, PoolId, WorkspaceId, to_u32},
+    baobab_unit::{DomainId, HostId, Incarnation, ModelId, PoolId, to_u32},
     baobab_wire::{Message, SyncMessage},
     std::{
         collections::{BTreeMap, BTreeSet},
-        sync::Arc,
         time::Duration,
     },
 };
 
-/// Silence of the dispatcher after which waiting requests use this router's own cautious share.
-const FALLBACK_AFTER: Duration = Duration::from_millis(2500);
 /// Part of its share that a router uses while it hears no dispatcher.
 const FALLBACK_DIVISOR: u32 = 2;
-/// Time that a slot from the router's own share stays valid.
-const SHARE_VALID: Duration = Duration::from_millis(500);
 
 /// The parts of the control thread that decisions read and change.
 pub struct Parts<'a> {
@@ -44,9 +38,9 @@
 /// What became of the grants of one round.
 #[derive(Debug, Default)]
 pub struct Outcomes {
-    used: u64,
-    declined: u64,
-    local_share: u64,
+    pub(super) used: u64,
+    pub(super) declined: u64,
+    pub(super) local_share: u64,
 }
 
 impl Outcomes {
@@ -62,28 +56,28 @@
 
 /// A grant that has arrived and waits for the round's end.
 #[derive(Debug, Clone, Copy)]
-struct Received {
-    pool: PoolId,
-    grant: Grant,
+pub(super) struct Received {
+    pub(super) pool: PoolId,
+    pub(super) grant: Grant,
 }
 
 /// Roles and grants of this host.
 pub struct Dispatching {
-    own: HostId,
-    own_domain: DomainId,
-    incarnation: Incarnation,
-    mode: DispatchMode,
-    host_index: u32,
-    host_count: u32,
-    pools: BTreeMap<PoolId, Pool>,
-    shares: BTreeMap<ModelId, Shares>,
-    weights: Vec<WorkspaceWeight>,
-    urgent_reserve_slots: u32,
-    leaving: BTreeSet<String>,
-    prefixes: Prefixes,
-    received: Vec<Received>,
-    revoked: Vec<Revocation>,
-    waiting_since: BTreeMap<ModelId, Duration>,
+    pub(super) own: HostId,
+    pub(super) own_domain: DomainId,
+    pub(super) incarnation: Incarnation,
+    pub(super) mode: DispatchMode,
+    pub(super) host_index: u32,
+    pub(super) host_count: u32,
+    pub(super) pools: BTreeMap<PoolId, Pool>,
+    pub(super) shares: BTreeMap<ModelId, Shares>,
+    pub(super) weights: Vec<WorkspaceWeight>,
+    pub(super) urgent_reserve_slots: u32,
+    pub(super) leaving: BTreeSet<String>,
+    pub(super) prefixes: Prefixes,
+    pub(super) received: Vec<Received>,
+    pub(super) revoked: Vec<Revocation>,
+    pub(super) waiting_since: BTreeMap<ModelId, Duration>,
 }
 
 impl Dispatching {
@@ -348,189 +342,4 @@
             }
         }
     }
-
-    /// Stops the streams whose slots are taken back; each tells when it has stopped.
-    fn give_back(&mut self, parts: &mut Parts<'_>) {
-        for revocation in std::mem::take(&mut self.revoked) {
-            parts
-                .streams
-                .revoke(revocation.engine, revocation.workspace);
-        }
-    }
-
-    fn use_grants(&mut self, now: Duration, parts: &mut Parts<'_>, outcomes: &mut Outcomes) {
-        for Received { pool, grant } in std::mem::take(&mut self.received) {
-            if self.start(now, pool, &grant, parts) {
-                outcomes.used += 1;
-            } else {
-                outcomes.declined += 1;
-            }
-        }
-    }
-
-    /// Uses this router's own share while the home dispatcher of a model is silent.
-    fn fall_back(&mut self, now: Duration, parts: &mut Parts<'_>, outcomes: &mut Outcomes) {
-        let models: Vec<ModelId> = self.shares.keys().copied().collect();
-        for model in models {
-            let waits = parts
-                .queue
-                .counts(model)
-                .any(|(_, counts)| counts.urgent + counts.other > 0);
-            let since = self.waiting_since.entry(model).or_insert(now);
-            if !waits {
-                *since = now;
-            }
-            let since = *since;
-            let heard = home_pool(&self.pools, model, self.own_domain)
-                .and_then(|id| self.pools.get(&id))
-                .and_then(|pool| pool.reporter.heard())
-                .unwrap_or_default();
-            if now > heard.max(since) + FALLBACK_AFTER {
-                self.use_shares(now, parts, Some(model), outcomes);
-            }
-        }
-    }
-
-    fn use_shares(
-        &mut self,
-        now: Duration,
-        parts: &mut Parts<'_>,
-        only: Option<ModelId>,
-        outcomes: &mut Outcomes,
-    ) {
-        let mut grants = Vec::new();
-        let in_use = parts.streams.in_use();
-        for (model, shares) in &mut self.shares {
-            if only.is_some_and(|only| only != *model) {
-                continue;
-            }
-            let waiting = waiting_of(*model, parts);
-            if !waiting.is_empty() {
-                grants.extend(shares.grant(&waiting, &in_use));
-            }
-        }
-        for share in grants {
-            let pool = self.pool_of(share.engine);
-            let grant = Grant {
-                number: 0,
-                engine: share.engine,
-                workspace: share.workspace,
-                urgent_only: false,
-                valid: SHARE_VALID,
-            };
-            if pool.is_some_and(|pool| self.start(now, pool, &grant, parts)) {
-                outcomes.local_share += 1;
-            }
-        }
-    }
-
-    fn pool_of(&self, engine: EngineId) -> Option<PoolId> {
-        self.pools
-            .iter()
-            .find(|(_, pool)| pool.engines.iter().any(|entry| entry.id() == engine))
-            .map(|(id, _)| *id)
-    }
-
-    /// Gives a granted slot to a waiting request. Returns whether it was used.
-    fn start(&mut self, now: Duration, id: PoolId, grant: &Grant, parts: &mut Parts<'_>) -> bool {
-        let Some(pool) = self.pools.get(&id) else {
-            return false;
-        };
-        let engine = pool
-            .engines
-            .iter()
-            .find(|engine| engine.id() == grant.engine && !self.leaving.contains(&engine.name));
-        let Some(engine) = engine else {
-            return false;
-        };
-        if parts.health.is_failing(now, grant.engine) {
-            return false;
-        }
-        loop {
-            let arrival = parts.queue.pop(
-                now,
-                pool.model,
-                grant.workspace,
-                grant.urgent_only,
-                |prefix| self.prefixes.contains(grant.engine, prefix),
-            );
-            let Some(arrival) = arrival else {
-                return false;
-            };
-            let stream = Stream::new(id, grant.engine, grant.workspace, arrival.rank);
-            let go = Go {
-                engine_name: engine.name.clone(),
-                address: engine.address,
-                expires: now + grant.valid,
-                progress: Arc::clone(&stream.progress),
-                revoked: Arc::clone(&stream.revoked),
-            };
-            if arrival.turn.send(Turn::Go(go)).is_err() {
-                // Its caller has just gone; the next one takes the slot.
-                continue;
-            }
-            self.prefixes.add(grant.engine, arrival.prefix);
-            parts.streams.start(arrival.id, stream);
-            return true;
-        }
-    }
-}
-
-fn pool_state(
-    now: Duration,
-    id: PoolId,
-    pool: &Pool,
-    is_home: bool,
-    parts: &Parts<'_>,
-) -> PoolState {
-    let mut rows: BTreeMap<WorkspaceId, WorkspaceRow> = BTreeMap::new();
-    for (workspace, tokens) in parts.streams.workspace_tokens(id) {
-        rows.entry(workspace)
-            .or_insert_with(|| empty(workspace))
-            .tokens = tokens;
-    }
-    if is_home {
-        for (workspace, counts) in parts.queue.counts(pool.model) {
-            let row = rows.entry(workspace).or_insert_with(|| empty(workspace));
-            row.waiting_urgent = counts.urgent;
-            row.waiting = counts.other;
-        }
-    }
-    let engines = pool
-        .engines
-        .iter()
-        .map(|engine| EngineRow {
-            engine: engine.id(),
-            tokens: parts.streams.engine_tokens(id, engine.id()),
-            failing: parts.health.is_failing(now, engine.id()),
-        })
-        .collect();
-    PoolState {
-        workspaces: rows.into_values().collect(),
-        streams: parts.streams.rows(id),
-        engines,
-        is_home,
-    }
-}
-
-fn empty(workspace: WorkspaceId) -> WorkspaceRow {
-    WorkspaceRow {
-        workspace,
-        waiting_urgent: 0,
-        waiting: 0,
-        tokens: 0,
-    }
-}
-
-fn waiting_of(model: ModelId, parts: &Parts<'_>) -> Vec<Waiting> {
-    parts
-        .queue
-        .counts(model)
-        .map(|(workspace, counts)| Waiting {
-            workspace,
-            count: counts.urgent + counts.other,
-            tokens: parts.streams.tokens_of(workspace),
-        })
-        .filter(|waiting| waiting.count > 0)
-        .collect()
 }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod prefixes;
 mod queue;
 mod socket;
+mod starting;
 mod streams;
 mod thread;
 
--- a/crates/entry/src/control/pool.rs
+++ b/crates/entry/src/control/pool.rs
@@ -1,10 +1,11 @@
 //! One pool as this host sees it: what it reports, and the dispatcher where it has the role.
 
 use {
+    super::dispatching::Parts,
     baobab_conf::{Declarations, Engine},
-    baobab_fair::{Dispatcher, EngineSlots, Reporter},
-    baobab_unit::{DomainId, ModelId, PoolId, id_of},
-    std::collections::BTreeMap,
+    baobab_fair::{Dispatcher, EngineRow, EngineSlots, PoolState, Reporter, WorkspaceRow},
+    baobab_unit::{DomainId, ModelId, PoolId, WorkspaceId, id_of},
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// A pool.
@@ -73,3 +74,50 @@
         .or_else(|| of_model().next())
         .map(|(id, _)| *id)
 }
+
+/// Returns what this router has to report to a pool.
+pub fn pool_state(
+    now: Duration,
+    id: PoolId,
+    pool: &Pool,
+    is_home: bool,
+    parts: &Parts<'_>,
+) -> PoolState {
+    let mut rows: BTreeMap<WorkspaceId, WorkspaceRow> = BTreeMap::new();
+    for (workspace, tokens) in parts.streams.workspace_tokens(id) {
+        rows.entry(workspace)
+            .or_insert_with(|| empty(workspace))
+            .tokens = tokens;
+    }
+    if is_home {
+        for (workspace, counts) in parts.queue.counts(pool.model) {
+            let row = rows.entry(workspace).or_insert_with(|| empty(workspace));
+            row.waiting_urgent = counts.urgent;
+            row.waiting = counts.other;
+        }
+    }
+    let engines = pool
+        .engines
+        .iter()
+        .map(|engine| EngineRow {
+            engine: engine.id(),
+            tokens: parts.streams.engine_tokens(id, engine.id()),
+            failing: parts.health.is_failing(now, engine.id()),
+        })
+        .collect();
+    PoolState {
+        workspaces: rows.into_values().collect(),
+        streams: parts.streams.rows(id),
+        engines,
+        is_home,
+    }
+}
+
+fn empty(workspace: WorkspaceId) -> WorkspaceRow {
+    WorkspaceRow {
+        workspace,
+        waiting_urgent: 0,
+        waiting: 0,
+        tokens: 0,
+    }
+}
--- a/crates/fair/benches/decisions.rs
+++ b/crates/fair/benches/decisions.rs
@@ -1,5 +1,8 @@
 //! Cost of a grant decision, of a report and of a merge, by size.
 
+// The macros of the benchmark library make functions without documentation.
+#![allow(missing_docs)]
+
 use {
     baobab_fair::{
         Dispatcher, EngineSlots, Ledger, Report, StreamRow, Tuning, WorkspaceRow, WorkspaceWeight,
--- a/crates/fair/src/backlog.rs
+++ b/crates/fair/src/backlog.rs
@@ -1,7 +1,7 @@
 //! Which workspaces are backlogged, and who is lifted when it comes back from idle.
 
 use {
-    crate::{Candidate, Tuning},
+    crate::{Tuning, ranking::Candidate},
     baobab_unit::WorkspaceId,
     std::{collections::BTreeMap, time::Duration},
 };
--- a/crates/fair/src/engines.rs
+++ b/crates/fair/src/engines.rs
@@ -1,10 +1,7 @@
 //! The engines of a pool: slots, and how fast they serve.
 
 use {
-    crate::{
-        EngineSlots,
-        routers::{RouterView, Routers},
-    },
+    crate::{EngineSlots, router_view::RouterView, routers::Routers},
     baobab_unit::{EngineId, Token},
     std::{collections::BTreeMap, time::Duration},
 };
--- a/crates/fair/src/lib.rs
+++ b/crates/fair/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod anticipated;
 mod backlog;
-mod dispatcher;
+mod dispatch;
 mod engines;
 mod ledger;
 mod message;
@@ -10,6 +10,7 @@
 mod ranking;
 mod reporter;
 mod revoking;
+mod router_view;
 mod routers;
 mod shares;
 mod standing;
@@ -17,13 +18,12 @@
 mod tuning;
 
 pub use {
-    dispatcher::{Action, Dispatcher, DispatcherStatus},
+    dispatch::{Action, Dispatcher, DispatcherStatus},
     ledger::Ledger,
     message::{
         EngineRow, Grant, Grants, News, NewsRow, Report, Revocation, StreamRow, SyncRow,
         WorkspaceRow,
     },
-    ranking::Candidate,
     reporter::{PoolState, Received, Reporter},
     shares::{InUse, ShareGrant, Shares, Waiting},
     tuning::{EngineSlots, Tuning, WorkspaceWeight},
--- a/crates/fair/src/ranking.rs
+++ b/crates/fair/src/ranking.rs
@@ -98,12 +98,6 @@
         order
     }
 
-    /// Chooses who receives the next slot.
-    #[must_use]
-    pub fn choose(&self, order: &mut Order) -> Option<Choice> {
-        order.heap.pop().map(|Reverse(entry)| entry.choice)
-    }
-
     /// Takes one request out of the chosen offer and charges `tokens` for it.
     pub fn take(&mut self, order: &mut Order, choice: Choice, tokens: f64) {
         let candidate = &mut self.candidates[choice.candidate];
@@ -165,6 +159,13 @@
     limit: f64,
 }
 
+impl Order {
+    /// Takes out who receives the next slot.
+    pub fn pop(&mut self) -> Option<Choice> {
+        self.heap.pop().map(|Reverse(entry)| entry.choice)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     key: f64,
