--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -13,8 +13,8 @@
 const FAILURE_LIMIT: u32 = 2;
 /// Part of a retry that each request pays for.
 const RETRY_PER_REQUEST: f64 = 0.1;
-/// Retries that may be saved up.
-const RETRY_BURST: f64 = 50.0;
+/// Retries that may be saved up: a router at full size may lose all of its streams at once.
+const RETRY_BURST: f64 = 500.0;
 
 #[derive(Debug, Default)]
 struct EngineHealth {
