Give the tests of planned stops and of coming back from a cut teeth

Ruled out: that the safeguards do not work; the stop with a stream of four seconds fails without the wait and passes with it. Change: the planned stop has a long stream on the router being stopped; a test of who got ahead during a cut. That one passes without the limit too: after a cut each side takes the other's workspaces for newcomers and lifts them. Conclusion: the limit and the anticipation are kept, not shown by a test.

--- a/bin/router/tests/promises.rs
+++ b/bin/router/tests/promises.rs
@@ -19,6 +19,8 @@
 };
 
 const STEP: Duration = Duration::from_millis(5);
+/// Tokens of a stream of some four seconds.
+const LONG_TOKENS: u64 = 800;
 
 #[test]
 fn the_same_key_at_two_routers_at_once_runs_once() {
@@ -214,8 +216,21 @@
     for index in 0..site.routers.len() {
         let before = load.right();
         wait_until("requests are served", || load.right() > before + 10);
+        // A stream that runs for longer than the notice to the balancer.
+        let address = site.routers[index].callers;
+        let long = thread::spawn(move || {
+            let response = chat(address, "long", LONG_TOKENS).expect("it answers");
+            is_right(response, "long", LONG_TOKENS)
+        });
+        wait_until("the long stream runs", || {
+            site.routers[index].metric("baobab_streams ") > 0
+        });
         site.routers[index].signal(Signal::TERM);
         assert!(site.routers[index].wait(), "the stop was not orderly");
+        assert!(
+            long.join().expect("no thread panics"),
+            "the long stream was cut"
+        );
         site.routers[index].start();
         site.wait_ready();
     }
--- a/crates/fair/tests/fairness.rs
+++ b/crates/fair/tests/fairness.rs
@@ -187,3 +187,23 @@
     assert!(held <= 32, "{held} of 96 slots after 4 s");
     assert!(fleet.streams() >= 90);
 }
+
+/// During a cut one workspace has a whole pool and two others share one; afterwards it is far ahead.
+#[test]
+fn whoever_got_ahead_during_a_cut_is_not_starved_for_it() {
+    let mut fleet = Fleet::start(2, 1, ENGINES, SLOTS, &[(1, 1), (2, 1), (3, 1)]);
+    let rate = f64::from(2 * ENGINES * SLOTS) * STREAM_RATE;
+    fleet.router(101).add(1, 100_000);
+    fleet.router(201).add(2, 100_000);
+    fleet.router(201).add(3, 100_000);
+    fleet.network.cut_off(1, [2]);
+    fleet.run_for(Duration::from_mins(1));
+    fleet.network.cut.clear();
+    let before = fleet.tokens(1);
+    fleet.run_for(Duration::from_secs(20));
+    let received_s = (fleet.tokens(1) - before) as f64 * 3.0 / rate;
+    // It may wait until the others have caught up by 4 s of service and four requests of 2 s.
+    let granule_s = 4.0 * 2.0 * STREAM_RATE * 3.0 / rate;
+    let due_s = 20.0 - 4.0 - granule_s - LAG_BOUND_S;
+    assert!(received_s >= due_s, "{received_s} of {due_s}");
+}
