Try a router again that left grants unanswered before it knew the dispatcher

A router that hears of a pool's dispatcher a moment after its first grants ignores them; if its report comes before they are reclaimed and it has nothing else to report, it counted as unresponsive for ever. Ruled out: that its reports are lost (unconfirmed ones are repeated), the merge after the cut. Change: unresponsive for 2 s, or until the next report.

--- a/crates/fair/src/dispatch/granting.rs
+++ b/crates/fair/src/dispatch/granting.rs
@@ -5,7 +5,6 @@
     crate::{
         Grant,
         ranking::{Candidate, Choice, Offer, Order, Ranking},
-        router_view::RouterView,
     },
     baobab_unit::{HostId, PoolId, WorkspaceId, to_u32},
     std::{collections::BTreeMap, time::Duration},
@@ -132,7 +131,7 @@
 
     pub(super) fn rank(&self, now: Duration) -> Ranking {
         let mut offers: BTreeMap<WorkspaceId, Vec<Offer>> = BTreeMap::new();
-        for (workspace, offer) in self.local_offers().chain(self.remote_offers()) {
+        for (workspace, offer) in self.local_offers(now).chain(self.remote_offers(now)) {
             offers.entry(workspace).or_default().push(offer);
         }
         let granule = self.request_tokens() * GRANULE_REQUESTS;
@@ -159,11 +158,14 @@
         }
     }
 
-    pub(super) fn local_offers(&self) -> impl Iterator<Item = (WorkspaceId, Offer)> + '_ {
+    pub(super) fn local_offers(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (WorkspaceId, Offer)> + '_ {
         let responsive = self
             .routers
             .views()
-            .filter(|(_, view)| !view.is_unresponsive());
+            .filter(move |(_, view)| !view.is_unresponsive(now));
         responsive.flat_map(|(router, view)| {
             view.workspaces()
                 .filter(|row| row.waiting + row.waiting_urgent > 0)
@@ -175,10 +177,13 @@
         })
     }
 
-    pub(super) fn remote_offers(&self) -> impl Iterator<Item = (WorkspaceId, Offer)> + '_ {
-        let is_responsive = |router| {
+    pub(super) fn remote_offers(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (WorkspaceId, Offer)> + '_ {
+        let is_responsive = move |router| {
             let view = self.routers.view(router);
-            !view.is_some_and(RouterView::is_unresponsive)
+            !view.is_some_and(|view| view.is_unresponsive(now))
         };
         let waiting = self.peers.waiting(self.pool, self.model);
         let reachable = waiting.filter(move |waiting| is_responsive(waiting.entry.row.router));
--- a/crates/fair/src/router_view.rs
+++ b/crates/fair/src/router_view.rs
@@ -32,7 +32,7 @@
     pub(crate) outstanding: BTreeMap<Sequence, Outstanding>,
     pub(crate) granted: BTreeMap<WorkspaceId, u32>,
     pub(crate) answer_due: Option<Duration>,
-    pub(crate) is_unresponsive: bool,
+    pub(crate) unresponsive_until: Option<Duration>,
 }
 
 impl RouterView {
@@ -71,9 +71,9 @@
         self.workspaces.values()
     }
 
-    /// Tells whether the router has let a grant go unanswered and not reported since.
-    pub fn is_unresponsive(&self) -> bool {
-        self.is_unresponsive
+    /// Tells whether the router has lately let a grant go unanswered and not reported since.
+    pub fn is_unresponsive(&self, now: Duration) -> bool {
+        self.unresponsive_until.is_some_and(|until| now < until)
     }
 
     /// Grants to a workspace that are not yet answered.
--- a/crates/fair/src/routers.rs
+++ b/crates/fair/src/routers.rs
@@ -9,6 +9,8 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Time that a router which left a grant unanswered gets no other.
+const UNRESPONSIVE_FOR: Duration = Duration::from_secs(2);
 /// Silence after which a router's counters are forgotten.
 const FORGET_AFTER: Duration = Duration::from_mins(10);
 
@@ -105,7 +107,7 @@
             return None;
         }
         view.heard = now;
-        view.is_unresponsive = false;
+        view.unresponsive_until = None;
         view.answer_due.get_or_insert(now);
         if incarnation > view.incarnation {
             self.restart(host, incarnation);
@@ -156,7 +158,7 @@
     }
 
     /// Frees the slots of grants that were not answered for so long that nobody may use them.
-    /// Their routers get no further ones until they report again.
+    /// Their routers get no further ones for a while, or until they report again.
     pub fn reclaim(&mut self, now: Duration, after: Duration) -> u32 {
         let mut count = 0;
         let hosts: Vec<HostId> = self
@@ -168,7 +170,7 @@
         for host in hosts {
             let reclaimed = self.resolve(host, |entry| now >= entry.issued + after);
             if let (true, Some(view)) = (reclaimed > 0, self.views.get_mut(&host)) {
-                view.is_unresponsive = true;
+                view.unresponsive_until = Some(now + UNRESPONSIVE_FOR);
             }
             count += reclaimed;
         }
--- a/crates/fair/tests/reports.rs
+++ b/crates/fair/tests/reports.rs
@@ -94,3 +94,23 @@
     assert_eq!(late, 0);
     assert_eq!(fleet.streams(), 4);
 }
+
+/// After a cut, a router hears of a pool's dispatcher a moment later than that hears of its requests:
+/// it ignores the first grants, and has nothing else to report to that pool.
+#[test]
+fn a_router_that_missed_its_first_grants_is_granted_again() {
+    for missed_ms in (400..1600).step_by(20) {
+        let mut fleet = Fleet::start(2, 1, 2, 4, &[(1, 1)]);
+        fleet.router(201).length = Duration::from_secs(1);
+        fleet.router(201).add(1, 30);
+        fleet.run_for(Duration::from_secs(6));
+        fleet.router(201).set_dispatcher(1, 999);
+        fleet.router(201).length = Duration::from_mins(10);
+        fleet.router(201).add(1, 1000);
+        fleet.run_for(Duration::from_millis(missed_ms));
+        fleet.point_routers();
+        fleet.run_for(Duration::from_secs(9));
+        assert_eq!(fleet.streams_in(2), 8);
+        assert_eq!(fleet.streams_in(1), 8, "idle after {missed_ms} ms");
+    }
+}
--- a/crates/fair/tests/support/mod.rs
+++ b/crates/fair/tests/support/mod.rs
@@ -118,8 +118,7 @@
         let mut sent = Vec::new();
         for router in self.routers.iter_mut().filter(|router| !router.is_paused) {
             router.run(self.now);
-            for (pool, report) in router.reports(self.now) {
-                let to = self.seats[&pool].host;
+            for (pool, to, report) in router.reports(self.now) {
                 let message = Message::Report(router.incarnation, report);
                 sent.push((router.host, router.domain, to, pool, message));
             }
--- a/crates/fair/tests/support/router.rs
+++ b/crates/fair/tests/support/router.rs
@@ -128,13 +128,16 @@
             .sum()
     }
 
-    pub fn reports(&mut self, now: Duration) -> Vec<(PoolId, Report)> {
+    /// Reports that are due, with their pools and the hosts that are believed to dispatch them.
+    pub fn reports(&mut self, now: Duration) -> Vec<(PoolId, HostId, Report)> {
         let pools: Vec<PoolId> = self.reporters.keys().copied().collect();
         let mut reports = Vec::new();
         for pool in pools {
             let state = self.state(pool);
             let reporter = self.reporters.get_mut(&pool).expect("it is one of its own");
-            reports.extend(reporter.report(now, state).map(|report| (pool, report)));
+            let to = reporter.dispatcher().expect("it was set");
+            let report = reporter.report(now, state);
+            reports.extend(report.map(|report| (pool, to, report)));
         }
         reports
     }
