--- a/bin/router/tests/support/mod.rs
+++ b/bin/router/tests/support/mod.rs
@@ -253,6 +253,13 @@
     }
 }
 
+/// The fleet's key as bytes.
+pub fn fleet_key() -> [u8; 32] {
+    *blake3::Hash::from_hex(FLEET_KEY)
+        .expect("it is hexadecimal")
+        .as_bytes()
+}
+
 pub fn any_address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/crates/audit/src/record.rs
+++ b/crates/audit/src/record.rs
@@ -38,6 +38,11 @@
         /// Tokens sent.
         tokens: u64,
     },
+    /// A request's caller went away before its end.
+    Abandoned {
+        /// Request.
+        request: String,
+    },
     /// A request was refused or given up.
     Refused {
         /// Request.
--- a/crates/entry/src/callers/chat.rs
+++ b/crates/entry/src/callers/chat.rs
@@ -36,6 +36,19 @@
     pub claim: Claim,
 }
 
+/// How a request ended.
+pub enum Served {
+    /// Its answer was sent as complete.
+    Complete {
+        /// Tokens of the answer.
+        tokens: u64,
+    },
+    /// Its caller went away.
+    CallerGone,
+    /// It was refused, or given up with this problem.
+    Refused(Problem),
+}
+
 /// How a try with one engine ended.
 enum TryEnd {
     Complete,
@@ -45,24 +58,22 @@
     Revoked,
 }
 
-/// Serves a request to its end. Returns the problem it ended with, if any.
-pub fn serve(context: &AppContext, call: &ChatCall, reply: Reply) -> Option<Problem> {
+/// Serves a request to its end.
+pub fn serve(context: &AppContext, call: &ChatCall, reply: Reply) -> Served {
     let model = call.request.model.clone();
     let mut answer = Answer::start(&call.id, &model, call.request.stream, reply);
     let mut claim = call.claim;
     let mut tries = 0;
+    let mut tokens = 0;
     // Whether a byte of the request has left this host.
     let mut ran = Ran::No;
     loop {
         let granted = match turn::wait(context, claim, ran, || answer.is_closed()) {
             Ok(granted) => granted,
-            Err(NoTurn::CallerGone) => {
-                context.metrics.callers_gone.inc();
-                return None;
-            }
+            Err(NoTurn::CallerGone) => return Served::CallerGone,
             Err(NoTurn::Refused(problem)) => {
                 answer.fail(problem);
-                return Some(problem);
+                return Served::Refused(problem);
             }
         };
         context.audit.add(Decision::Granted {
@@ -70,12 +81,10 @@
             engine: granted.go.engine_name.clone(),
         });
         let (rest, end) = try_engine(context, call, &granted, answer);
+        tokens += granted.go.progress.load(Ordering::Relaxed);
         match (rest, end) {
-            (None, TryEnd::Complete) => return None,
-            (None, _) | (_, TryEnd::CallerGone) => {
-                context.metrics.callers_gone.inc();
-                return None;
-            }
+            (None, TryEnd::Complete) => return Served::Complete { tokens },
+            (None, _) | (_, TryEnd::CallerGone) => return Served::CallerGone,
             (Some(unfinished), TryEnd::Failed(error)) => {
                 answer = unfinished;
                 note_retry(context, call, error.reason());
@@ -86,7 +95,7 @@
                 if tries > MAX_RETRIES {
                     let problem = broken(ran);
                     answer.fail(problem);
-                    return Some(problem);
+                    return Served::Refused(problem);
                 }
                 claim.origin = Origin::Retry;
             }
--- a/crates/entry/src/callers/handler.rs
+++ b/crates/entry/src/callers/handler.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         answer::send_problem,
-        chat::{self, ChatCall},
+        chat::{self, ChatCall, Served},
         completion::ChatRequest,
         problem::{Problem, Ran},
         service::{self, ServiceCall},
@@ -78,7 +78,7 @@
             class: request.header(CLASS_HEADER).unwrap_or_default().to_owned(),
         });
         match chat::serve(&self.context, &call, reply) {
-            None => {
+            Served::Complete { tokens } => {
                 self.context
                     .metrics
                     .served
@@ -86,10 +86,14 @@
                     .inc();
                 self.context.audit.add(Decision::Served {
                     request: id,
-                    tokens: 0,
+                    tokens,
                 });
             }
-            Some(problem) => self.note_refusal(&id, &call.workspace, problem),
+            Served::CallerGone => {
+                self.context.metrics.callers_gone.inc();
+                self.context.audit.add(Decision::Abandoned { request: id });
+            }
+            Served::Refused(problem) => self.note_refusal(&id, &call.workspace, problem),
         }
     }
 
