Refuse a head that is too large also when it arrives at once

A head of 2,000 bytes that comes in one read was parsed before its size of 1,024 allowed was looked at. Ruled out: a race (it fails each time). Change: the size of a parsed head is checked too.

--- a/crates/web/src/connection.rs
+++ b/crates/web/src/connection.rs
@@ -78,6 +78,9 @@
     fn read_head(&mut self, limits: &Limits) -> Result<Request, Rejection> {
         loop {
             if let Some((request, head_bytes)) = self.parse_head()? {
+                if head_bytes > limits.head_bytes {
+                    return Err(Rejection::HeadTooLarge);
+                }
                 self.buffer.drain(..head_bytes);
                 return Ok(request);
             }
