Remove what nothing calls from the dispatcher and the membership

Cause: the last reading of the whole change: Dispatcher::on_router_gone, Routers::remove and Membership::is_live have no caller; freeing all that a router holds stood twice as two calls. Change: the three are gone; Routers::release serves a restarted and a silent router. Not run again on this commit: the other crates' tests, the router's orders and streams. Conclusion: behaviour is unchanged.

--- a/crates/fair/src/dispatch/dispatcher.rs
+++ b/crates/fair/src/dispatch/dispatcher.rs
@@ -166,11 +166,6 @@
         }
     }
 
-    /// Drops a router that is known to be gone, with its streams and grants.
-    pub fn on_router_gone(&mut self, host: HostId) {
-        self.routers.remove(host);
-    }
-
     /// Decides what to grant and what to tell. To be called every few milliseconds and after news.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
         self.routers.drop_silent(now, self.tuning.router_silence);
--- a/crates/fair/src/routers.rs
+++ b/crates/fair/src/routers.rs
@@ -187,8 +187,7 @@
             .map(|(host, _)| *host)
             .collect();
         for host in silent {
-            self.clear_rows(host);
-            self.resolve(host, |_| true);
+            self.release(host);
             if let Some(view) = self.views.get_mut(&host) {
                 // The next report has to be a full one.
                 view.applied = 0;
@@ -198,16 +197,8 @@
             .retain(|_, view| view.applied > 0 || now <= view.heard + FORGET_AFTER);
     }
 
-    /// Drops a router that is known to be gone.
-    pub fn remove(&mut self, host: HostId) {
-        self.clear_rows(host);
-        self.resolve(host, |_| true);
-        self.views.remove(&host);
-    }
-
     fn restart(&mut self, host: HostId, incarnation: Incarnation) {
-        self.clear_rows(host);
-        self.resolve(host, |_| true);
+        self.release(host);
         let view = self.views.entry(host).or_default();
         view.incarnation = incarnation;
         view.applied = 0;
@@ -279,6 +270,12 @@
         }
     }
 
+    /// Frees everything that a router holds: its streams, its waiting requests and its grants.
+    fn release(&mut self, host: HostId) {
+        self.clear_rows(host);
+        self.resolve(host, |_| true);
+    }
+
     fn clear_rows(&mut self, host: HostId) {
         let empty = Report {
             pool: 0,
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -94,14 +94,6 @@
         }
     }
 
-    /// Tells whether a host was heard lately.
-    #[must_use]
-    pub fn is_live(&self, now: Duration, host: HostId) -> bool {
-        self.members
-            .get(&host)
-            .is_some_and(|member| self.lives(now, member))
-    }
-
     /// Returns the live hosts.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &Member> {
         self.members
