--- /dev/null
+++ b/crates/place/src/cache.rs
@@ -0,0 +1,103 @@
+//! Which prompt parts an engine probably holds.
+
+use {
+    crate::{Part, PartId, Prompt},
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Room that is left free before parts are forgotten together, so that eviction is rare.
+const SLACK_DIVISOR: u64 = 8;
+
+#[derive(Debug)]
+struct Held {
+    tokens: u64,
+    used_at: Duration,
+}
+
+/// The prompt parts that were sent to an engine, least recently used ones forgotten first.
+#[derive(Debug)]
+pub struct CacheView {
+    capacity_tokens: u64,
+    held_tokens: u64,
+    parts: HashMap<PartId, Held>,
+}
+
+impl CacheView {
+    /// Starts empty; remembers at most `capacity_tokens`.
+    #[must_use]
+    pub fn new(capacity_tokens: u64) -> Self {
+        Self {
+            capacity_tokens,
+            held_tokens: 0,
+            parts: HashMap::new(),
+        }
+    }
+
+    /// Changes how much is remembered.
+    pub fn set_capacity(&mut self, capacity_tokens: u64) {
+        self.capacity_tokens = capacity_tokens;
+    }
+
+    /// Notes that the engine reads a part. Returns whether it was unknown before.
+    pub fn touch(&mut self, part: Part, now: Duration) -> bool {
+        let mut is_new = false;
+        let held = self.parts.entry(part.id).or_insert_with(|| {
+            is_new = true;
+            Held {
+                tokens: part.tokens,
+                used_at: now,
+            }
+        });
+        held.used_at = held.used_at.max(now);
+        if is_new {
+            self.held_tokens += part.tokens;
+            self.evict();
+        }
+        is_new
+    }
+
+    /// Tells whether the engine probably holds a part.
+    #[must_use]
+    pub fn holds(&self, id: PartId) -> bool {
+        self.parts.contains_key(&id)
+    }
+
+    /// Returns how many tokens of a prompt's beginning are held; a part counts only where all
+    /// parts before it are held too.
+    #[must_use]
+    pub fn held_prefix_tokens(&self, prompt: &Prompt) -> u64 {
+        prompt
+            .parts
+            .iter()
+            .take_while(|part| self.holds(part.id))
+            .map(|part| part.tokens)
+            .sum()
+    }
+
+    /// Forgets everything, as after a restart of the engine.
+    pub fn clear(&mut self) {
+        self.parts.clear();
+        self.held_tokens = 0;
+    }
+
+    fn evict(&mut self) {
+        if self.held_tokens <= self.capacity_tokens {
+            return;
+        }
+        let goal_tokens = self.capacity_tokens - self.capacity_tokens / SLACK_DIVISOR;
+        let mut by_age: Vec<(Duration, PartId)> = self
+            .parts
+            .iter()
+            .map(|(id, held)| (held.used_at, *id))
+            .collect();
+        by_age.sort_unstable();
+        for (_, id) in by_age {
+            if self.held_tokens <= goal_tokens {
+                break;
+            }
+            if let Some(held) = self.parts.remove(&id) {
+                self.held_tokens -= held.tokens;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,29 @@
+//! Decisions about backend servers: which one takes a request, whether any should, and who may
+//! repeat one. Nothing here touches a socket; every call is given the time.
+
+mod budget;
+mod cache;
+mod health;
+mod load;
+mod peers;
+mod placer;
+mod prompt;
+mod registry;
+mod score;
+mod server;
+mod shares;
+mod tuning;
+
+pub use {
+    budget::RetryBudget,
+    cache::CacheView,
+    health::{Health, Outcome},
+    load::Load,
+    peers::{PeerReport, Peers},
+    placer::{Ask, Declined, Placement, Placer},
+    prompt::{Part, PartId, Prompt},
+    registry::Registry,
+    server::{Server, ServerId, ServerKey},
+    shares::{Claim, Shares, max_min},
+    tuning::Tuning,
+};
--- /dev/null
+++ b/crates/place/src/load.rs
@@ -0,0 +1,30 @@
+//! What routers have sent to a backend server and is not finished.
+
+use std::ops::{AddAssign, SubAssign};
+
+/// Unfinished work at one server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Prompt tokens of requests that have not generated anything yet.
+    pub unread_tokens: u64,
+    /// Requests that are not finished.
+    pub running: u64,
+    /// Memory of unfinished requests, in tokens.
+    pub memory_tokens: u64,
+}
+
+impl AddAssign for Load {
+    fn add_assign(&mut self, other: Self) {
+        self.unread_tokens += other.unread_tokens;
+        self.running += other.running;
+        self.memory_tokens += other.memory_tokens;
+    }
+}
+
+impl SubAssign for Load {
+    fn sub_assign(&mut self, other: Self) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.running = self.running.saturating_sub(other.running);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
--- /dev/null
+++ b/crates/place/src/placer.rs
@@ -0,0 +1,489 @@
+//! Chooses the backend server for a request, or declines it.
+
+use {
+    crate::{
+        CacheView, Health, Load, Outcome, Part, Peers, Prompt, Registry, Server, ServerKey, Tuning,
+        score::home_score,
+    },
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+};
+
+/// Weight of the newest first event in an engine's pace.
+const PACE_WEIGHT: f64 = 0.1;
+/// Bounds of an engine's pace: times slower than foretold.
+const PACE_BOUNDS: (f64, f64) = (0.5, 8.0);
+/// Cost of fetching a token from another engine, relative to reading it.
+const FETCH_COST: f64 = 0.5;
+/// Cost of a home's rank where nobody is known to hold the shared parts, relative to reading them.
+const RANK_COST: f64 = 0.25;
+/// Ranks that are told apart.
+const RANKS: usize = 3;
+
+/// A request that needs a server.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    /// Service that takes it.
+    pub service: &'a str,
+    /// What it asks an engine to read; none for plain services.
+    pub prompt: Option<&'a Prompt>,
+    /// Time to the first event that is on time.
+    pub objective: Duration,
+    /// Failure domain of the router.
+    pub domain: &'a str,
+    /// Servers that have failed it.
+    pub tried: &'a [ServerKey],
+    /// Whether it is within its workspace's share.
+    pub is_within_share: bool,
+    /// Whether engines of the service fetch cached parts from one another.
+    pub can_fetch: bool,
+    /// Memory of each engine of the service, in tokens; zero where unknown.
+    pub memory_tokens: u64,
+}
+
+/// The chosen server.
+#[derive(Debug, Clone)]
+pub struct Placement {
+    /// The server.
+    pub server: Server,
+    /// Foretold time to the first event.
+    pub foretold: Duration,
+    /// Prompt tokens that the server has to read.
+    pub uncached_tokens: u64,
+    /// Engine that holds more of the prompt's shared parts.
+    pub fetch_from: Option<SocketAddr>,
+}
+
+/// Why no server takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Declined {
+    /// The service has no server that may be used.
+    NoServer,
+    /// No server would answer on time. Room is expected after this time.
+    Busy(Duration),
+}
+
+#[derive(Debug)]
+struct State {
+    health: Health,
+    load: Load,
+    cache: CacheView,
+    pace: f64,
+    is_changed: bool,
+}
+
+impl State {
+    fn new() -> Self {
+        Self {
+            health: Health::default(),
+            load: Load::default(),
+            cache: CacheView::new(u64::MAX),
+            pace: 1.0,
+            is_changed: false,
+        }
+    }
+}
+
+struct Candidate<'a> {
+    server: &'a Server,
+    cost_ms: f64,
+    wait_ms: f64,
+    uncached_tokens: u64,
+    held_tokens: u64,
+    admits: bool,
+}
+
+/// All that a router knows of the backend servers.
+#[derive(Debug)]
+pub struct Placer {
+    /// The announced servers.
+    pub registry: Registry,
+    /// What the other routers have told.
+    pub peers: Peers,
+    tuning: Tuning,
+    states: HashMap<ServerKey, State>,
+    told_parts: Vec<(ServerKey, Part)>,
+}
+
+impl Placer {
+    /// Starts without servers.
+    #[must_use]
+    pub fn new(registry: Registry, peers: Peers, tuning: Tuning) -> Self {
+        Self {
+            registry,
+            peers,
+            tuning,
+            states: HashMap::new(),
+            told_parts: Vec::new(),
+        }
+    }
+
+    /// Chooses a server.
+    ///
+    /// # Errors
+    ///
+    /// Declines where no server may be used, or none would answer on time.
+    pub fn place(&self, ask: &Ask, now: Duration) -> Result<Placement, Declined> {
+        let servers = self.servers(ask, now);
+        if servers.is_empty() {
+            return Err(Declined::NoServer);
+        }
+        let candidates = match ask.prompt {
+            Some(prompt) => self.engines(ask, prompt, &servers),
+            None => self.plain(ask, &servers),
+        };
+        let most_held = candidates
+            .iter()
+            .max_by_key(|candidate| candidate.held_tokens);
+        let best = candidates
+            .iter()
+            .filter(|candidate| candidate.admits)
+            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms));
+        let Some(best) = best else {
+            return Err(Declined::Busy(self.time_to_room(ask, &candidates)));
+        };
+        let fetch_from = most_held
+            .filter(|holder| ask.can_fetch && holder.held_tokens > best.held_tokens)
+            .map(|holder| holder.server.address);
+        Ok(Placement {
+            server: best.server.clone(),
+            foretold: Duration::from_secs_f64(best.wait_ms / 1000.0),
+            uncached_tokens: best.uncached_tokens,
+            fetch_from,
+        })
+    }
+
+    /// Notes that a request was sent to a server. Returns the load to give back when it ends.
+    pub fn on_sent(
+        &mut self,
+        placement: &Placement,
+        prompt: Option<&Prompt>,
+        now: Duration,
+    ) -> Load {
+        let load = Load {
+            unread_tokens: placement.uncached_tokens,
+            running: 1,
+            memory_tokens: prompt.map_or(0, Prompt::memory_tokens),
+        };
+        let key = placement.server.key;
+        let state = self.states.entry(key).or_insert_with(State::new);
+        state.load += load;
+        state.is_changed = true;
+        let Some(prompt) = prompt else {
+            return load;
+        };
+        let shared = prompt.shared().len();
+        for (index, part) in prompt.parts.iter().enumerate() {
+            if state.cache.touch(*part, now) && index < shared {
+                self.told_parts.push((key, *part));
+            }
+        }
+        load
+    }
+
+    /// Notes that a request's first event has come `after` it was sent, where `foretold` was
+    /// expected.
+    pub fn on_first_event(
+        &mut self,
+        key: ServerKey,
+        load: &mut Load,
+        foretold: Duration,
+        after: Duration,
+    ) {
+        self.release(
+            key,
+            Load {
+                unread_tokens: load.unread_tokens,
+                ..Load::default()
+            },
+        );
+        load.unread_tokens = 0;
+        let Some(state) = self.states.get_mut(&key) else {
+            return;
+        };
+        let ratio = after.as_secs_f64() / foretold.as_secs_f64().max(0.001);
+        let sample = (state.pace * ratio).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        state.pace += PACE_WEIGHT * (sample - state.pace);
+    }
+
+    /// Gives a request's load back and takes its end in. Returns whether the server is set aside
+    /// because of it.
+    pub fn on_finished(
+        &mut self,
+        key: ServerKey,
+        load: Load,
+        outcome: Option<Outcome>,
+        now: Duration,
+    ) -> bool {
+        self.release(key, load);
+        match (self.states.get_mut(&key), outcome) {
+            (Some(state), Some(outcome)) => state.health.on_outcome(outcome, now),
+            _ => false,
+        }
+    }
+
+    /// Notes that another router has sent a prompt part to an engine.
+    pub fn on_told_part(&mut self, key: ServerKey, part: Part, now: Duration) {
+        let state = self.states.entry(key).or_insert_with(State::new);
+        state.cache.touch(part, now);
+    }
+
+    /// Notes that an engine holds nothing any more.
+    pub fn on_restarted(&mut self, key: ServerKey) {
+        if let Some(state) = self.states.get_mut(&key) {
+            state.cache.clear();
+            state.health = Health::default();
+            state.pace = 1.0;
+        }
+    }
+
+    /// Returns the parts that engines were sent for the first time since the last call.
+    pub fn take_told_parts(&mut self) -> Vec<(ServerKey, Part)> {
+        std::mem::take(&mut self.told_parts)
+    }
+
+    /// Returns this router's load by server: all of it, or what has changed since the last call.
+    pub fn take_loads(&mut self, all: bool) -> Vec<(ServerKey, Load)> {
+        let mut loads = Vec::new();
+        for (&key, state) in &mut self.states {
+            let is_told = if all {
+                state.load != Load::default()
+            } else {
+                state.is_changed
+            };
+            state.is_changed = false;
+            if is_told {
+                loads.push((key, state.load));
+            }
+        }
+        loads
+    }
+
+    /// Drops what is known of servers that are gone, and peers that are silent.
+    pub fn expire(&mut self, now: Duration) {
+        self.registry.expire(now);
+        self.peers.expire(now);
+        let registry = &self.registry;
+        self.states
+            .retain(|key, state| registry.get(*key).is_some() || state.load != Load::default());
+    }
+
+    /// Sets how much of each engine's memory is counted on for cached parts.
+    pub fn set_memory(&mut self, service: &str, memory_tokens: u64) {
+        let cache_tokens = (memory_tokens as f64 * self.tuning.cache_share) as u64;
+        for server in self.registry.usable(service) {
+            let state = self.states.entry(server.key).or_insert_with(State::new);
+            state.cache.set_capacity(cache_tokens);
+        }
+    }
+
+    /// Returns the share of a service's places that is taken, by this and the other routers.
+    #[must_use]
+    pub fn occupancy(&self, service: &str) -> f64 {
+        let mut slots = 0;
+        let mut running = 0;
+        for server in self.registry.usable(service) {
+            slots += u64::from(server.slots);
+            running += self.total_load(server.key).running;
+        }
+        if slots == 0 {
+            return 1.0;
+        }
+        running as f64 / slots as f64
+    }
+
+    /// Returns the whole known load of a server.
+    #[must_use]
+    pub fn total_load(&self, key: ServerKey) -> Load {
+        let mut load = self.peers.load(key);
+        if let Some(state) = self.states.get(&key) {
+            load += state.load;
+        }
+        load
+    }
+
+    fn release(&mut self, key: ServerKey, load: Load) {
+        if let Some(state) = self.states.get_mut(&key) {
+            state.load -= load;
+            state.is_changed = true;
+        }
+    }
+
+    /// Returns the servers to choose from: those set aside only where no other is left.
+    fn servers<'a>(&'a self, ask: &'a Ask, now: Duration) -> Vec<&'a Server> {
+        let untried: Vec<&Server> = self
+            .registry
+            .usable(ask.service)
+            .filter(|server| !ask.tried.contains(&server.key))
+            .collect();
+        let healthy: Vec<&Server> = untried
+            .iter()
+            .copied()
+            .filter(|server| {
+                self.states
+                    .get(&server.key)
+                    .is_none_or(|state| !state.health.is_aside(now))
+            })
+            .collect();
+        if healthy.is_empty() { untried } else { healthy }
+    }
+
+    fn plain<'a>(&self, ask: &Ask, servers: &[&'a Server]) -> Vec<Candidate<'a>> {
+        servers
+            .iter()
+            .map(|server| {
+                let running = self.total_load(server.key).running;
+                let filled = running as f64 / f64::from(server.slots.max(1));
+                let cost_ms = filled * 20.0 + self.common_cost_ms(ask, server);
+                Candidate {
+                    server,
+                    cost_ms,
+                    wait_ms: 0.0,
+                    uncached_tokens: 0,
+                    held_tokens: 0,
+                    admits: true,
+                }
+            })
+            .collect()
+    }
+
+    fn engines<'a>(
+        &self,
+        ask: &Ask,
+        prompt: &Prompt,
+        servers: &[&'a Server],
+    ) -> Vec<Candidate<'a>> {
+        let shared_tokens: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let held: Vec<u64> = servers
+            .iter()
+            .map(|server| self.held_tokens(server.key, prompt))
+            .collect();
+        let most_held = held.iter().copied().max().unwrap_or(0);
+        let is_unknown = most_held < shared_tokens;
+        let homes = if is_unknown {
+            homes(prompt, servers)
+        } else {
+            Vec::new()
+        };
+        servers
+            .iter()
+            .zip(held)
+            .map(|(server, held_tokens)| {
+                let mut candidate = self.engine(ask, prompt, server, held_tokens, most_held);
+                if is_unknown {
+                    let rank = homes
+                        .iter()
+                        .position(|key| *key == server.key)
+                        .unwrap_or(RANKS);
+                    let reading_ms = shared_tokens as f64 / self.tuning.read_tokens_per_ms;
+                    candidate.cost_ms += RANK_COST * rank as f64 * reading_ms;
+                }
+                candidate
+            })
+            .collect()
+    }
+
+    fn engine<'a>(
+        &self,
+        ask: &Ask,
+        prompt: &Prompt,
+        server: &'a Server,
+        held_tokens: u64,
+        most_held: u64,
+    ) -> Candidate<'a> {
+        let load = self.total_load(server.key);
+        let uncached_tokens = prompt.tokens.saturating_sub(held_tokens);
+        let fetched = if ask.can_fetch {
+            most_held.saturating_sub(held_tokens)
+        } else {
+            0
+        };
+        let read_tokens = (uncached_tokens - fetched.min(uncached_tokens)) as f64;
+        let pace = self.states.get(&server.key).map_or(1.0, |state| state.pace);
+        let token_ms = pace / self.tuning.read_tokens_per_ms;
+        let queue_ms = load.unread_tokens as f64 * token_ms;
+        let wait_ms = queue_ms + read_tokens * token_ms + millis(self.tuning.first_event);
+        let cost_ms = wait_ms
+            + FETCH_COST * fetched as f64 * token_ms
+            + load.running as f64 * millis(self.tuning.running_cost)
+            + self.common_cost_ms(ask, server);
+        Candidate {
+            server,
+            cost_ms,
+            wait_ms,
+            uncached_tokens: read_tokens as u64,
+            held_tokens,
+            admits: self.admits(ask, prompt, server, load, queue_ms, wait_ms),
+        }
+    }
+
+    fn admits(
+        &self,
+        ask: &Ask,
+        prompt: &Prompt,
+        server: &Server,
+        load: Load,
+        queue_ms: f64,
+        wait_ms: f64,
+    ) -> bool {
+        let (time_share, slot_share) = if ask.is_within_share {
+            (self.tuning.admit_share, self.tuning.slot_share)
+        } else {
+            (self.tuning.spare_share, self.tuning.spare_slot_share)
+        };
+        let bound_ms = millis(ask.objective) * time_share;
+        // A prompt that takes longer than that alone goes where little waits.
+        let is_on_time = wait_ms <= bound_ms || queue_ms <= bound_ms * 0.25;
+        let has_slot = (load.running as f64) < f64::from(server.slots) * slot_share;
+        let memory_bound = ask.memory_tokens as f64 * self.tuning.memory_share;
+        let has_memory = ask.memory_tokens == 0
+            || (load.memory_tokens + prompt.memory_tokens()) as f64 <= memory_bound
+            || load.running == 0;
+        is_on_time && has_slot && has_memory
+    }
+
+    fn common_cost_ms(&self, ask: &Ask, server: &Server) -> f64 {
+        let mut cost_ms = 0.0;
+        if server.domain != ask.domain {
+            cost_ms += millis(self.tuning.domain_cost);
+        }
+        let is_doubtful = self
+            .states
+            .get(&server.key)
+            .is_some_and(|state| state.health.is_doubtful());
+        if is_doubtful || !server.warm_up.is_zero() {
+            cost_ms += millis(self.tuning.doubt_cost);
+        }
+        cost_ms
+    }
+
+    fn held_tokens(&self, key: ServerKey, prompt: &Prompt) -> u64 {
+        self.states
+            .get(&key)
+            .map_or(0, |state| state.cache.held_prefix_tokens(prompt))
+    }
+
+    fn time_to_room(&self, ask: &Ask, candidates: &[Candidate]) -> Duration {
+        let least_ms = candidates
+            .iter()
+            .map(|candidate| candidate.wait_ms)
+            .fold(f64::INFINITY, f64::min);
+        let over_ms = (least_ms - millis(ask.objective) * self.tuning.admit_share).max(0.0);
+        Duration::from_secs_f64(over_ms / 1000.0)
+    }
+}
+
+fn homes(prompt: &Prompt, servers: &[&Server]) -> Vec<ServerKey> {
+    let Some(part) = prompt.last_shared() else {
+        return Vec::new();
+    };
+    let mut scored: Vec<(u64, ServerKey)> = servers
+        .iter()
+        .map(|server| (home_score(part.id, server.key), server.key))
+        .collect();
+    scored.sort_unstable_by(|left, right| right.cmp(left));
+    scored.into_iter().take(RANKS).map(|(_, key)| key).collect()
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
--- /dev/null
+++ b/crates/relay/src/callers/listener.rs
@@ -0,0 +1,54 @@
+//! Accepts callers.
+
+use {
+    super::connection,
+    crate::{core::Core, error::RelayError},
+    socket2::{Domain, Socket, Type},
+    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    tokio::{net::TcpListener, sync::Semaphore, time::sleep},
+};
+
+/// Connections that may wait to be accepted: a second of a herd of callers.
+const BACKLOG: i32 = 1024;
+/// Pause after the system has refused a connection, as where no descriptor is left.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Fails where the address cannot be used.
+pub fn bind(address: SocketAddr) -> Result<TcpListener, RelayError> {
+    let open = || {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        TcpListener::from_std(socket.into())
+    };
+    open().map_err(|error| RelayError::Bind(address, error))
+}
+
+/// Accepts and serves callers until the task is dropped.
+pub async fn serve(core: Rc<Core>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(core.settings.connections));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let core = Rc::clone(&core);
+                tokio::task::spawn_local(async move {
+                    connection::run(core, stream).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                log::warn!("a caller could not be accepted: {error}");
+                sleep(REFUSED_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/callers/mod.rs
@@ -0,0 +1,14 @@
+//! Callers: their connections, their requests and what they are answered.
+
+mod admit;
+mod answer;
+mod connection;
+mod gauge;
+mod listener;
+mod service;
+mod under_way;
+
+pub use {
+    answer::{AnswerBody, problem_answer},
+    listener::{bind, serve},
+};
--- /dev/null
+++ b/crates/relay/src/callers/under_way.rs
@@ -0,0 +1,42 @@
+//! Counts the requests that are under way.
+
+use {crate::core::Core, std::rc::Rc};
+
+/// Part of the process's memory that bodies of requests may take.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+
+/// Counts a request as under way, and its body as held, until it is dropped.
+pub struct UnderWay {
+    core: Rc<Core>,
+    held_bytes: u64,
+}
+
+impl UnderWay {
+    /// Counts a request.
+    #[must_use]
+    pub fn begin(core: &Rc<Core>) -> Self {
+        core.under_way.set(core.under_way.get() + 1);
+        Self {
+            core: Rc::clone(core),
+            held_bytes: 0,
+        }
+    }
+
+    /// Counts bytes of its body. Returns false where bodies take too much memory.
+    pub fn hold(&mut self, bytes: usize) -> bool {
+        let bytes = bytes as u64;
+        self.held_bytes += bytes;
+        let held = self.core.held_bytes.get() + bytes;
+        self.core.held_bytes.set(held);
+        held <= self.core.settings.memory_bytes / BODY_MEMORY_DIVISOR
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.core.under_way.set(self.core.under_way.get() - 1);
+        self.core
+            .held_bytes
+            .set(self.core.held_bytes.get() - self.held_bytes);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/forward/attempt.rs
@@ -0,0 +1,258 @@
+//! One sending of a request to one server.
+
+use {
+    super::{
+        exchange::{Exchange, Keep},
+        headers::remove_hop_headers,
+        job::Job,
+        lease::LoadLease,
+    },
+    crate::{
+        core::Core,
+        dialect::{Outbound, Verdict},
+        pool::{Taken, Trust},
+    },
+    baobab_client::SendError,
+    baobab_place::{Outcome, Placement},
+    baobab_routing::Repeat,
+    http::{Request, header::CONNECTION, response},
+    http_body_util::Full,
+    hyper::body::Incoming,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Part of a server's connections that all routers together use.
+const CONNECTION_SHARE: f64 = 0.9;
+/// Connections to a server that every router may have, whatever its part.
+const LEAST_CONNECTIONS: usize = 2;
+
+/// The head of an answer, and the way to the rest.
+pub struct Answer {
+    /// Status and headers.
+    pub head: response::Parts,
+    /// The rest.
+    pub exchange: Exchange,
+}
+
+/// Why an attempt has no answer.
+#[derive(Debug)]
+pub enum Miss {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The server says that it has not run the request.
+    NotRun,
+    /// Another server is at the address; the request has not run.
+    WrongServer,
+    /// The request may have run.
+    Lost(String),
+    /// The server has not answered for so long that another one should.
+    Stalled,
+}
+
+/// Sends a request to the chosen server and waits for the head of its answer, for `stall` at most
+/// where that is set.
+pub async fn attempt(
+    core: &Rc<Core>,
+    job: &Job,
+    placement: Placement,
+    resume_after: Option<&str>,
+    stall: Option<Duration>,
+) -> Result<Answer, Miss> {
+    let fetch_from = placement.fetch_from;
+    let lease = LoadLease::take(core, placement, job.prompt.as_ref());
+    if fetch_from.is_some() {
+        core.metrics
+            .fetches
+            .with_label_values(&[job.service.as_str()])
+            .inc();
+    }
+    let sending = send(core, job, &lease, fetch_from, resume_after);
+    let result = match stall {
+        Some(stall) => match timeout(stall, sending).await {
+            Ok(result) => result,
+            Err(_) => Err(Miss::Stalled),
+        },
+        None => sending.await,
+    };
+    match result {
+        Ok((taken, head, body)) => judge(core, job, lease, taken, head, body),
+        Err(miss) => {
+            let outcome = match miss {
+                Miss::NotSent(_) => Outcome::Unreachable,
+                _ => Outcome::Failure,
+            };
+            lease.finish(outcome);
+            Err(miss)
+        }
+    }
+}
+
+async fn send(
+    core: &Rc<Core>,
+    job: &Job,
+    lease: &LoadLease,
+    fetch_from: Option<SocketAddr>,
+    resume_after: Option<&str>,
+) -> Result<(InUse, response::Parts, Incoming), Miss> {
+    let server = &lease.server;
+    let mut kept = core.pool.take(server.key, trust(job.route.repeat));
+    loop {
+        let was_kept = kept.is_some();
+        let taken = match kept.take() {
+            Some(taken) => taken,
+            None => open(core, job, lease).await?,
+        };
+        let mut in_use = InUse::new(core, lease, taken);
+        let request = request(core, job, lease, fetch_from, resume_after);
+        job.was_sent.set(true);
+        match in_use.send(request).await {
+            Ok(answer) => {
+                let (head, body) = answer.into_parts();
+                return Ok((in_use, head, body));
+            }
+            // A kept connection that was closed meanwhile; nothing was sent on it.
+            Err(SendError::NotSent(_)) if was_kept => {}
+            Err(SendError::NotSent(reason)) => return Err(Miss::NotSent(reason)),
+            Err(SendError::Lost(reason)) => return Err(Miss::Lost(reason)),
+        }
+    }
+}
+
+async fn open(core: &Rc<Core>, job: &Job, lease: &LoadLease) -> Result<Taken, Miss> {
+    let fleet_size = core.book.borrow().fleet_size();
+    let part = f64::from(job.max_connections) * CONNECTION_SHARE / fleet_size as f64;
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let most = (part as usize).max(LEAST_CONNECTIONS);
+    core.metrics
+        .connections
+        .with_label_values(&[lease.server.service.as_str()])
+        .inc();
+    core.pool
+        .open(&lease.server, most)
+        .await
+        .map_err(|error| Miss::NotSent(error.to_string()))
+}
+
+fn trust(repeat: Repeat) -> Trust {
+    match repeat {
+        Repeat::Idempotent | Repeat::ResumableStream => Trust::Kept,
+        Repeat::Stream => Trust::Recent,
+        Repeat::Once => Trust::New,
+    }
+}
+
+fn request(
+    core: &Core,
+    job: &Job,
+    lease: &LoadLease,
+    fetch_from: Option<SocketAddr>,
+    resume_after: Option<&str>,
+) -> Request<Full<bytes::Bytes>> {
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = job.headers.clone();
+    let outbound = Outbound {
+        patience: Some(job.time_left()),
+        server: &lease.server.id,
+        workspace: job.caller.as_ref().map(|caller| caller.name.as_str()),
+        fetch_from,
+        resume_after,
+    };
+    core.dialect.outbound(request.headers_mut(), &outbound);
+    request
+}
+
+fn judge(
+    core: &Rc<Core>,
+    job: &Job,
+    lease: LoadLease,
+    mut taken: InUse,
+    mut head: response::Parts,
+    body: Incoming,
+) -> Result<Answer, Miss> {
+    let verdict = core.dialect.verdict(&job.id, &head);
+    let keep = keep(&head);
+    let miss = match verdict {
+        Verdict::Genuine => {
+            remove_hop_headers(&mut head.headers);
+            let Some(connection) = taken.release() else {
+                return Err(Miss::Lost("the connection is gone".to_owned()));
+            };
+            let exchange = Exchange::new(core, connection, body, lease, keep);
+            return Ok(Answer { head, exchange });
+        }
+        Verdict::NotRun => Miss::NotRun,
+        Verdict::WrongServer => Miss::WrongServer,
+        Verdict::Foreign => Miss::Lost("an answer to another request".to_owned()),
+    };
+    // The connection is closed: what else arrives on it belongs to no request.
+    drop(taken);
+    lease.finish(match miss {
+        Miss::NotRun => Outcome::Full,
+        Miss::WrongServer => Outcome::Unreachable,
+        _ => Outcome::Failure,
+    });
+    Err(miss)
+}
+
+fn keep(head: &response::Parts) -> Keep {
+    let closes = head
+        .headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return Keep::Close;
+    }
+    let time = head
+        .headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split("timeout=").nth(1))
+        .and_then(|value| value.split(',').next())
+        .and_then(|value| value.trim().parse().ok())
+        .map(Duration::from_secs);
+    Keep::Reuse(time)
+}
+
+/// A connection in use. Dropping it closes it and gives its place back.
+struct InUse {
+    core: Rc<Core>,
+    server: baobab_place::ServerKey,
+    taken: Option<Taken>,
+}
+
+impl InUse {
+    fn new(core: &Rc<Core>, lease: &LoadLease, taken: Taken) -> Self {
+        Self {
+            core: Rc::clone(core),
+            server: lease.server.key,
+            taken: Some(taken),
+        }
+    }
+
+    async fn send(
+        &mut self,
+        request: Request<Full<bytes::Bytes>>,
+    ) -> Result<http::Response<Incoming>, SendError> {
+        match &mut self.taken {
+            Some(taken) => taken.connection.send(request).await,
+            None => Err(SendError::NotSent("the connection is gone".to_owned())),
+        }
+    }
+
+    fn release(&mut self) -> Option<baobab_client::Connection> {
+        self.taken.take().map(|taken| taken.connection)
+    }
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        if self.taken.take().is_some() {
+            self.core.pool.discard(self.server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/forward/dispatch.rs
@@ -0,0 +1,290 @@
+//! Finds a server for a request, and another one where that is allowed.
+
+use {
+    super::{
+        attempt::{Answer, Miss, attempt},
+        exchange::Exchange,
+        job::Job,
+        problem::{Problem, Reason},
+        retry_after::{Load, retry_after},
+    },
+    crate::core::Core,
+    baobab_place::{Declined, Outcome, Placement, ServerKey},
+    baobab_routing::Repeat,
+    bytes::{Bytes, BytesMut},
+    http::{header::CONTENT_LENGTH, response},
+    std::{future::poll_fn, rc::Rc, time::Duration},
+    tokio::time::{Instant, timeout_at},
+};
+
+/// Part of the objective for which a request may wait for room: beyond an eighth, waiting costs
+/// the caller more than an early refusal.
+const HOLD_SHARE: f64 = 0.115;
+/// Answers up to this size are read whole before they are passed on, so that another server can
+/// be asked where they break off.
+const WHOLE_BYTES: u64 = 256 * 1024;
+/// Servers that may be unreachable before a request is given up.
+const MOST_UNREACHABLE: u32 = 4;
+/// Times the objective after which a silent server is given up for another one.
+const STALL_OBJECTIVES: f64 = 2.0;
+/// Times the foretold first event after which a silent engine is given up.
+const STALL_FORETOLD: f64 = 3.0;
+/// When to come back where no server can be used: about the time between two announcements.
+const NO_SERVER_PAUSE: Duration = Duration::from_millis(700);
+
+/// What has been tried for a request.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    /// Servers that did not answer it.
+    pub tried: Vec<ServerKey>,
+    /// Times that it was handed to a server.
+    pub sent: u32,
+    unreachable: u32,
+}
+
+/// An answer for the caller.
+pub enum Reply {
+    /// The whole answer.
+    Whole(response::Parts, Bytes),
+    /// The head and the way to the rest.
+    Stream(response::Parts, Exchange),
+}
+
+/// Sends a request until a server answers it, as far as its route and the budget allow.
+pub async fn dispatch(
+    core: &Rc<Core>,
+    job: &Job,
+    attempts: &mut Attempts,
+    resume_after: Option<&str>,
+) -> Result<Reply, Problem> {
+    let mut failed_answer: Option<(response::Parts, Bytes)> = None;
+    loop {
+        let placement = match place(core, job, attempts).await {
+            Ok(placement) => placement,
+            Err(problem) => return last_resort(failed_answer, problem),
+        };
+        let server = placement.server.key;
+        log::info!(
+            id = job.id.as_str(),
+            server = placement.server.id.as_str(),
+            attempt = attempts.sent + 1,
+            foretold_ms = placement.foretold.as_millis(),
+            unread = placement.uncached_tokens,
+            fetches = placement.fetch_from.is_some();
+            "request is sent"
+        );
+        let stall = stall(job, attempts, &placement);
+        let miss = match attempt(core, job, placement, resume_after, stall).await {
+            Ok(answer) => match receive(job, answer).await {
+                Ok(reply) => {
+                    attempts.sent += 1;
+                    match may_replace(core, job, attempts, reply) {
+                        Ok(reply) => return Ok(reply),
+                        Err(answer) => failed_answer = Some(answer),
+                    }
+                    attempts.tried.push(server);
+                    continue;
+                }
+                Err(reason) => Miss::Lost(reason),
+            },
+            Err(miss) => miss,
+        };
+        log::info!(id = job.id.as_str(), server, miss:? = miss; "server gave no answer");
+        attempts.tried.push(server);
+        if let Err(problem) = on_miss(core, job, attempts, &miss, server) {
+            return last_resort(failed_answer, problem);
+        }
+    }
+}
+
+/// Chooses a server, waiting a little for room.
+async fn place(core: &Rc<Core>, job: &Job, attempts: &Attempts) -> Result<Placement, Problem> {
+    let hold_until = job.arrived + job.route.objective.mul_f64(HOLD_SHARE);
+    loop {
+        let is_within_share = is_within_share(core, job);
+        let ask = job.ask(&core.settings.domain, &attempts.tried, is_within_share);
+        let result = core.placer.borrow().place(&ask, core.now());
+        match result {
+            Ok(placement) => {
+                charge(core, job);
+                return Ok(placement);
+            }
+            Err(Declined::NoServer) => {
+                let pause = retry_after(
+                    Load::Passing(NO_SERVER_PAUSE),
+                    job.time_left(),
+                    core.fraction(),
+                );
+                return Err(Problem::later(Reason::NoServer, pause));
+            }
+            Err(Declined::Busy(room_in)) => {
+                if Instant::now() >= hold_until {
+                    return Err(refusal(core, job, is_within_share, room_in));
+                }
+                let _ = timeout_at(hold_until, core.room.notified()).await;
+            }
+        }
+    }
+}
+
+fn is_within_share(core: &Core, job: &Job) -> bool {
+    job.caller.as_ref().is_none_or(|caller| {
+        core.shares
+            .borrow()
+            .covers(caller.workspace, job.claim_tokens())
+    })
+}
+
+fn charge(core: &Core, job: &Job) {
+    if let Some(caller) = &job.caller {
+        core.shares
+            .borrow_mut()
+            .charge(caller.workspace, job.claim_tokens());
+    }
+}
+
+fn refusal(core: &Core, job: &Job, is_within_share: bool, room_in: Duration) -> Problem {
+    let (reason, load) = if is_within_share {
+        (Reason::Busy, Load::Busy { room_in })
+    } else {
+        (Reason::OverShare, Load::OverShare)
+    };
+    Problem::later(reason, retry_after(load, job.time_left(), core.fraction()))
+}
+
+/// Returns how long a server may be silent before another one is asked instead.
+fn stall(job: &Job, attempts: &Attempts, placement: &Placement) -> Option<Duration> {
+    let has_another = attempts.sent + 1 < job.route.max_attempts;
+    if !job.route.repeat.is_repeatable() || !has_another {
+        return None;
+    }
+    let by_objective = job.route.objective.mul_f64(STALL_OBJECTIVES);
+    let by_foretold = placement.foretold.mul_f64(STALL_FORETOLD);
+    Some(by_objective.max(by_foretold))
+}
+
+/// Reads a short answer whole.
+async fn receive(job: &Job, answer: Answer) -> Result<Reply, String> {
+    let Answer { head, mut exchange } = answer;
+    let length = head
+        .headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse::<u64>().ok());
+    let is_stream = job.route.repeat.is_stream() && head.status.is_success();
+    if is_stream || length.is_some_and(|length| length > WHOLE_BYTES) {
+        return Ok(Reply::Stream(head, exchange));
+    }
+    let mut body = BytesMut::new();
+    while let Some(data) = poll_fn(|context| exchange.poll_data(context)).await {
+        match data {
+            Ok(data) => body.extend_from_slice(&data),
+            Err(reason) => {
+                exchange.finish(Outcome::Failure);
+                return Err(reason);
+            }
+        }
+        if body.len() as u64 > 4 * WHOLE_BYTES {
+            exchange.finish(Outcome::Failure);
+            return Err("an answer without length is too long".to_owned());
+        }
+    }
+    let outcome = if head.status.is_server_error() {
+        Outcome::Failure
+    } else {
+        Outcome::Success
+    };
+    exchange.finish(outcome);
+    Ok(Reply::Whole(head, body.freeze()))
+}
+
+/// Gives a server's own failure back where another server may do better.
+fn may_replace(
+    core: &Core,
+    job: &Job,
+    attempts: &Attempts,
+    reply: Reply,
+) -> Result<Reply, (response::Parts, Bytes)> {
+    match reply {
+        Reply::Whole(head, body) if head.status.is_server_error() => {
+            job.may_have_run.set(true);
+            let may_repeat = job.route.repeat.is_repeatable()
+                && attempts.sent < job.route.max_attempts
+                && core.try_repeat(&job.service, "server_error");
+            if may_repeat {
+                Err((head, body))
+            } else {
+                Ok(Reply::Whole(head, body))
+            }
+        }
+        reply => Ok(reply),
+    }
+}
+
+/// Decides whether a request goes to another server.
+fn on_miss(
+    core: &Core,
+    job: &Job,
+    attempts: &mut Attempts,
+    miss: &Miss,
+    server: ServerKey,
+) -> Result<(), Problem> {
+    let (reason, may_repeat) = match miss {
+        Miss::NotSent(_) => {
+            attempts.unreachable += 1;
+            if attempts.unreachable < MOST_UNREACHABLE {
+                return Ok(());
+            }
+            (Reason::Unreachable, false)
+        }
+        Miss::WrongServer => {
+            core.placer.borrow_mut().registry.forget(server);
+            core.pool.forget(server);
+            attempts.sent += 1;
+            (Reason::ServersRefused, true)
+        }
+        Miss::NotRun => {
+            attempts.sent += 1;
+            (Reason::ServersRefused, true)
+        }
+        Miss::Lost(_) | Miss::Stalled => {
+            attempts.sent += 1;
+            job.may_have_run.set(true);
+            (Reason::ServerFailed, job.route.repeat.is_repeatable())
+        }
+    };
+    let has_another = attempts.sent < job.route.max_attempts;
+    if may_repeat && has_another && core.try_repeat(&job.service, reason.code()) {
+        return Ok(());
+    }
+    Err(final_problem(core, job, reason))
+}
+
+fn final_problem(core: &Core, job: &Job, reason: Reason) -> Problem {
+    if job.may_have_run.get() {
+        return Problem::new(Reason::ServerFailed);
+    }
+    let load = Load::Busy {
+        room_in: Duration::ZERO,
+    };
+    Problem::later(reason, retry_after(load, job.time_left(), core.fraction()))
+}
+
+/// Prefers a server's own failure to one of ours, and never promises what is not known.
+fn last_resort(
+    failed_answer: Option<(response::Parts, Bytes)>,
+    problem: Problem,
+) -> Result<Reply, Problem> {
+    match failed_answer {
+        Some((head, body)) => Ok(Reply::Whole(head, body)),
+        None => Err(problem),
+    }
+}
+
+/// Tells whether a stream that broke off may go on at another server.
+#[must_use]
+pub fn may_resume(core: &Core, job: &Job, attempts: &Attempts) -> bool {
+    job.route.repeat == Repeat::ResumableStream
+        && attempts.sent < job.route.max_attempts
+        && core.try_repeat(&job.service, "stream_broken")
+}
--- /dev/null
+++ b/crates/relay/src/forward/lease.rs
@@ -0,0 +1,74 @@
+//! Counts a request against its server until it ends.
+
+use {
+    crate::core::Core,
+    baobab_place::{Load, Outcome, Placement, Prompt, Server},
+    std::{rc::Rc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// A request's place at a server. Dropping it gives the place back.
+pub struct LoadLease {
+    core: Rc<Core>,
+    /// The server.
+    pub server: Server,
+    load: Load,
+    foretold: Duration,
+    sent_at: Instant,
+    outcome: Option<Outcome>,
+}
+
+impl LoadLease {
+    /// Counts a request that is about to be sent.
+    #[must_use]
+    pub fn take(core: &Rc<Core>, placement: Placement, prompt: Option<&Prompt>) -> Self {
+        let now = core.now();
+        let load = core.placer.borrow_mut().on_sent(&placement, prompt, now);
+        Self {
+            core: Rc::clone(core),
+            server: placement.server,
+            load,
+            foretold: placement.foretold,
+            sent_at: Instant::now(),
+            outcome: None,
+        }
+    }
+
+    /// Notes the first event of the answer.
+    pub fn on_first_event(&mut self) {
+        let after = self.sent_at.elapsed();
+        self.core.placer.borrow_mut().on_first_event(
+            self.server.key,
+            &mut self.load,
+            self.foretold,
+            after,
+        );
+        self.core.room.notify_one();
+    }
+
+    /// Gives the place back with the server's part in how it ended.
+    pub fn finish(mut self, outcome: Outcome) {
+        self.outcome = Some(outcome);
+    }
+}
+
+impl Drop for LoadLease {
+    fn drop(&mut self) {
+        let now = self.core.now();
+        let is_set_aside = self.core.placer.borrow_mut().on_finished(
+            self.server.key,
+            self.load,
+            self.outcome,
+            now,
+        );
+        if is_set_aside {
+            self.core
+                .metrics
+                .ejections
+                .with_label_values(&[self.server.service.as_str()])
+                .inc();
+            log::info!(server = self.server.id.as_str(), outcome:? = self.outcome; "server is set aside");
+        }
+        self.core.room.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/gossip/message.rs
@@ -0,0 +1,140 @@
+//! News of one router, and its wire form.
+
+use {
+    baobab_place::{Load, Part, PeerReport, ServerKey},
+    baobab_unit::WorkspaceId,
+    serde::{Deserialize, Serialize},
+};
+
+/// A prompt part that an engine was sent for the first time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldPart {
+    /// The engine.
+    pub server: ServerKey,
+    /// The part.
+    pub part: Part,
+}
+
+/// What one datagram tells.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct News {
+    /// Load and claims.
+    pub report: PeerReport,
+    /// Prompt parts that engines were sent.
+    pub parts: Vec<ToldPart>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireLoad {
+    server: u32,
+    unread_tokens: u64,
+    running: u64,
+    memory_tokens: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireClaim {
+    workspace: u32,
+    tokens_per_s: u32,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WirePart {
+    server: u32,
+    part: u64,
+    tokens: u64,
+}
+
+/// Wire form of [`News`].
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WireNews {
+    is_whole: bool,
+    loads: Vec<WireLoad>,
+    claims: Vec<WireClaim>,
+    parts: Vec<WirePart>,
+}
+
+impl From<&News> for WireNews {
+    fn from(news: &News) -> Self {
+        Self {
+            is_whole: news.report.is_whole,
+            loads: news.report.loads.iter().map(WireLoad::from).collect(),
+            claims: news.report.claims.iter().map(WireClaim::from).collect(),
+            parts: news.parts.iter().map(WirePart::from).collect(),
+        }
+    }
+}
+
+impl From<WireNews> for News {
+    fn from(wire: WireNews) -> Self {
+        Self {
+            report: PeerReport {
+                is_whole: wire.is_whole,
+                loads: wire.loads.into_iter().map(From::from).collect(),
+                claims: wire.claims.into_iter().map(From::from).collect(),
+            },
+            parts: wire.parts.into_iter().map(From::from).collect(),
+        }
+    }
+}
+
+impl From<&(ServerKey, Load)> for WireLoad {
+    fn from((server, load): &(ServerKey, Load)) -> Self {
+        Self {
+            server: *server,
+            unread_tokens: load.unread_tokens,
+            running: load.running,
+            memory_tokens: load.memory_tokens,
+        }
+    }
+}
+
+impl From<WireLoad> for (ServerKey, Load) {
+    fn from(wire: WireLoad) -> Self {
+        let load = Load {
+            unread_tokens: wire.unread_tokens,
+            running: wire.running,
+            memory_tokens: wire.memory_tokens,
+        };
+        (wire.server, load)
+    }
+}
+
+impl From<&(WorkspaceId, f64)> for WireClaim {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn from((workspace, rate): &(WorkspaceId, f64)) -> Self {
+        Self {
+            workspace: *workspace,
+            // A cast from a float saturates.
+            tokens_per_s: *rate as u32,
+        }
+    }
+}
+
+impl From<WireClaim> for (WorkspaceId, f64) {
+    fn from(wire: WireClaim) -> Self {
+        (wire.workspace, f64::from(wire.tokens_per_s))
+    }
+}
+
+impl From<&ToldPart> for WirePart {
+    fn from(told: &ToldPart) -> Self {
+        Self {
+            server: told.server,
+            part: told.part.id,
+            tokens: told.part.tokens,
+        }
+    }
+}
+
+impl From<WirePart> for ToldPart {
+    fn from(wire: WirePart) -> Self {
+        Self {
+            server: wire.server,
+            part: Part {
+                id: wire.part,
+                tokens: wire.tokens,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/gossip/mod.rs
@@ -0,0 +1,11 @@
+//! What routers tell each other by datagram.
+
+mod book;
+mod message;
+mod seal;
+
+pub use {
+    book::Book,
+    message::{News, ToldPart},
+    seal::{PeerKey, SealError, Sender, seal},
+};
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,25 @@
+//! The traffic thread: takes callers' requests, sends each to the backend server that the
+//! decisions of `baobab-place` choose, and passes the answer on.
+
+mod callers;
+mod command;
+mod core;
+mod dialect;
+mod error;
+mod forward;
+mod gossip;
+mod metrics;
+mod operators;
+mod pool;
+mod relay;
+mod settings;
+mod ticker;
+
+pub use {
+    command::{Command, PeerHost},
+    dialect::{Dialect, Inbound, Malformed, Outbound, Verdict},
+    error::RelayError,
+    gossip::PeerKey,
+    relay::{Handle, spawn},
+    settings::{Bounds, Settings},
+};
--- /dev/null
+++ b/crates/relay/src/operators.rs
@@ -0,0 +1,65 @@
+//! Answers the balancer's question and serves metrics.
+
+use {
+    crate::core::Core,
+    bytes::Bytes,
+    http::{Request, Response, StatusCode},
+    http_body_util::Full,
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    std::{convert::Infallible, rc::Rc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::timeout,
+    },
+};
+
+/// Longest life of a connection here; each carries one short exchange or a few.
+const LIFE: Duration = Duration::from_secs(60);
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves readiness or metrics on a listener until the task is dropped.
+pub async fn serve(core: Rc<Core>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(timeout(LIFE, run(Rc::clone(&core), stream)));
+            }
+            Err(error) => {
+                log::warn!("an operator's connection could not be accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn run(core: Rc<Core>, stream: TcpStream) {
+    let service = service_fn(move |request| {
+        let answer = answer(&core, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let result = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = result {
+        log::debug!("an operator's connection broke: {error}");
+    }
+}
+
+fn answer(core: &Core, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let (status, body) = if path == core.settings.readiness_path {
+        match core.is_ready() {
+            true => (StatusCode::OK, Vec::new()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        }
+    } else if path == METRICS_PATH {
+        (StatusCode::OK, core.metrics.render())
+    } else {
+        (StatusCode::NOT_FOUND, Vec::new())
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,240 @@
+//! Starts and ends the traffic thread.
+
+use {
+    crate::{
+        callers,
+        command::Command,
+        core::{Core, Phase},
+        dialect::Dialect,
+        error::RelayError,
+        gossip::PeerKey,
+        operators,
+        settings::Settings,
+        ticker,
+    },
+    baobab_unit::Incarnation,
+    flume::{Receiver, Sender},
+    std::{
+        rc::Rc,
+        thread::{self, JoinHandle},
+        time::Duration,
+    },
+    tokio::{
+        net::UdpSocket,
+        runtime::Builder,
+        task::LocalSet,
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// Time in which the balancer notices that a router is not ready: two questions a second apart,
+/// and a third for one that was just missed.
+const NOTICE: Duration = Duration::from_millis(3000);
+/// Time before the kill at which the process ends, whatever is still under way.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks at whether everything has ended.
+const END_LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Who a router is to its peers.
+#[derive(Debug, Clone, Copy)]
+pub struct Identity {
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Key of its datagrams.
+    pub key: PeerKey,
+}
+
+/// A running traffic thread.
+#[derive(Debug)]
+pub struct Handle {
+    commands: Sender<Command>,
+    thread: JoinHandle<()>,
+}
+
+impl Handle {
+    /// Ends the router without breaking off answers, as far as its grace allows, and waits for
+    /// that.
+    pub fn stop(self) {
+        if self.commands.send(Command::Stop).is_err() {
+            log::error!("the traffic thread has ended before it was stopped");
+        }
+        if self.thread.join().is_err() {
+            log::error!("the traffic thread has panicked");
+        }
+    }
+
+    /// Tells whether the thread has ended.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.thread.is_finished()
+    }
+}
+
+/// Starts the traffic thread. `dialect` makes the deployment's headers on that thread.
+///
+/// # Errors
+///
+/// Fails where the system refuses the thread or an address cannot be used.
+pub fn spawn(
+    settings: Settings,
+    dialect: impl FnOnce() -> Box<dyn Dialect> + Send + 'static,
+    identity: (Incarnation, PeerKey),
+    commands: (Sender<Command>, Receiver<Command>),
+) -> Result<Handle, RelayError> {
+    let (sender, receiver) = commands;
+    let identity = Identity {
+        incarnation: identity.0,
+        key: identity.1,
+    };
+    let (started_sender, started) = flume::bounded(1);
+    let thread = thread::Builder::new()
+        .name("traffic".to_owned())
+        .spawn(move || {
+            let result = run(settings, dialect(), identity, &receiver, &started_sender);
+            if let Err(error) = result {
+                let _ = started_sender.send(Err(error));
+            }
+        })
+        .map_err(RelayError::Runtime)?;
+    match started.recv() {
+        Ok(Ok(())) | Err(_) => {}
+        Ok(Err(error)) => return Err(error),
+    }
+    Ok(Handle {
+        commands: sender,
+        thread,
+    })
+}
+
+fn run(
+    settings: Settings,
+    dialect: Box<dyn Dialect>,
+    identity: Identity,
+    commands: &Receiver<Command>,
+    started: &Sender<Result<(), RelayError>>,
+) -> Result<(), RelayError> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(RelayError::Runtime)?;
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, async {
+        let callers = callers::bind(settings.callers)?;
+        let readiness = callers::bind(settings.readiness)?;
+        let metrics = callers::bind(settings.metrics)?;
+        let socket = UdpSocket::bind(settings.peers)
+            .await
+            .map_err(|error| RelayError::Bind(settings.peers, error))?;
+        let socket = Rc::new(socket);
+        let core = Rc::new(Core::new(settings, dialect));
+        tokio::task::spawn_local(callers::serve(Rc::clone(&core), callers));
+        tokio::task::spawn_local(operators::serve(Rc::clone(&core), readiness));
+        tokio::task::spawn_local(operators::serve(Rc::clone(&core), metrics));
+        tokio::task::spawn_local(ticker::run(Rc::clone(&core), Rc::clone(&socket), identity));
+        tokio::task::spawn_local(ticker::receive(Rc::clone(&core), socket));
+        let _ = started.send(Ok(()));
+        obey(&core, commands).await;
+        end(&core).await;
+        Ok(())
+    })
+}
+
+async fn obey(core: &Core, commands: &Receiver<Command>) {
+    while let Ok(command) = commands.recv_async().await {
+        if matches!(command, Command::Stop) {
+            return;
+        }
+        apply(core, command);
+    }
+}
+
+fn apply(core: &Core, command: Command) {
+    let now = core.now();
+    match command {
+        Command::Adopt(configuration) => {
+            let version = configuration.version;
+            if core.force.borrow_mut().adopt(configuration) {
+                log::info!(version; "configuration is in force");
+                set_memory(core);
+            }
+        }
+        Command::Confirm(confirmation) => core.force.borrow_mut().confirm(confirmation),
+        Command::Servers(servers) => {
+            log::info!(count = servers.len(); "list of servers was read");
+            core.placer.borrow_mut().registry.replace(servers, now);
+            set_memory(core);
+        }
+        Command::Announce(server) => announce(core, *server),
+        Command::Withdraw(id) => {
+            let is_gone = core.placer.borrow_mut().registry.withdraw(&id, now);
+            log::info!(server = id.as_str(), is_gone; "server is no longer announced");
+        }
+        Command::ServersSound => core.placer.borrow_mut().registry.on_list_sound(now),
+        Command::ServersLost => core.placer.borrow_mut().registry.on_list_lost(),
+        Command::Peers(peers) => core.book.borrow_mut().replace(peers, now),
+        Command::PeerStarted(peer) => core.book.borrow_mut().insert(peer, now),
+        Command::PeerStopped(host) => core.book.borrow_mut().remove(&host),
+        Command::Bounds(bounds) => {
+            core.force.borrow_mut().set_lease(bounds.key_lease);
+            *core.bounds.borrow_mut() = bounds;
+        }
+        Command::Stop => {}
+    }
+}
+
+fn announce(core: &Core, server: baobab_place::Server) {
+    let key = server.key;
+    log::info!(
+        server = server.id.as_str(),
+        service = server.service.as_str(),
+        is_leaving = server.is_leaving;
+        "server is announced"
+    );
+    let is_leaving = server.is_leaving;
+    let mut placer = core.placer.borrow_mut();
+    if placer.registry.announce(server) {
+        placer.on_restarted(key);
+        core.pool.forget(key);
+    }
+    drop(placer);
+    if is_leaving {
+        core.pool.forget(key);
+    }
+    set_memory(core);
+}
+
+fn set_memory(core: &Core) {
+    let (Some(configuration), _) = core.configuration() else {
+        return;
+    };
+    let mut placer = core.placer.borrow_mut();
+    for service in configuration.services.values() {
+        if let Some(engine) = &service.engine {
+            placer.set_memory(&service.name, engine.cache_tokens);
+        }
+    }
+}
+
+/// Ends the router: the balancer turns elsewhere, then what is under way ends.
+async fn end(core: &Core) {
+    let grace = core.bounds.borrow().grace;
+    let killed_at = Instant::now() + grace;
+    core.killed_at.set(Some(killed_at));
+    core.phase.set(Phase::Leaving);
+    log::info!(under_way = core.under_way.get(), grace_ms = baobab_unit::millis(grace); "planned stop begins");
+    sleep(NOTICE.min(grace / 2)).await;
+    core.phase.set(Phase::Draining);
+    let last_moment = killed_at - END_MARGIN;
+    // Connections that are unused end at their next look.
+    let mut quiet_looks = 0;
+    while quiet_looks < 20 && Instant::now() < last_moment {
+        sleep(END_LOOK_INTERVAL).await;
+        quiet_looks = if core.under_way.get() == 0 {
+            quiet_looks + 1
+        } else {
+            0
+        };
+    }
+    sleep_until(Instant::now()).await;
+    log::info!(under_way = core.under_way.get(); "router stops");
+}
--- /dev/null
+++ b/crates/routing/tests/force.rs
@@ -0,0 +1,118 @@
+//! The configuration in force, its order of versions and its lease.
+
+use {
+    baobab_routing::{
+        Configuration, Confirmation, Force, Limits, Repeat, Route, Standing, Target, find_route,
+    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+const LEASE: Duration = Duration::from_secs(4);
+
+fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        pause_objective: Duration::from_millis(100),
+        rank: 1,
+        targets: vec![Target {
+            service: "lookup".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        is_anonymous: true,
+    }
+}
+
+fn configuration(version: u64, routes: Vec<Route>) -> Arc<Configuration> {
+    Arc::new(Configuration {
+        version,
+        routes,
+        services: BTreeMap::new(),
+        limits: Limits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+            tokens_per_s: None,
+        },
+        keys: None,
+    })
+}
+
+fn confirmation(version: u64, as_of_s: u64) -> Confirmation {
+    Confirmation {
+        version,
+        as_of: Duration::from_secs(as_of_s),
+    }
+}
+
+#[test]
+fn an_older_version_is_never_adopted() {
+    let mut force = Force::new(LEASE);
+    for (version, adopted) in [(3, true), (2, false), (3, false), (7, true), (5, false)] {
+        assert_eq!(
+            force.adopt(configuration(version, Vec::new())),
+            adopted,
+            "{version}"
+        );
+    }
+    assert_eq!(force.current().map(|current| current.version), Some(7));
+}
+
+#[test]
+fn keys_are_accepted_only_while_the_version_in_force_is_confirmed() {
+    let mut force = Force::new(LEASE);
+    assert_eq!(force.standing(Duration::ZERO), Standing::Unknown);
+    force.adopt(configuration(3, Vec::new()));
+    assert_eq!(force.standing(Duration::ZERO), Standing::Lapsed);
+    force.confirm(confirmation(3, 10));
+    assert_eq!(force.standing(Duration::from_secs(14)), Standing::Confirmed);
+    assert_eq!(force.standing(Duration::from_secs(15)), Standing::Lapsed);
+}
+
+#[test]
+fn a_confirmation_of_another_version_says_nothing() {
+    let mut force = Force::new(LEASE);
+    force.adopt(configuration(3, Vec::new()));
+    force.confirm(confirmation(2, 10));
+    force.confirm(confirmation(4, 10));
+    assert_eq!(force.standing(Duration::from_secs(10)), Standing::Lapsed);
+}
+
+#[test]
+fn a_late_confirmation_does_not_shorten_the_lease() {
+    let mut force = Force::new(LEASE);
+    force.adopt(configuration(3, Vec::new()));
+    force.confirm(confirmation(3, 10));
+    force.confirm(confirmation(3, 5));
+    assert_eq!(force.standing(Duration::from_secs(14)), Standing::Confirmed);
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_the_request() {
+    let all = configuration(
+        1,
+        vec![
+            route("wide", "a.example", "/x/"),
+            route("narrow", "a.example", "/x/y/"),
+            route("other", "b.example", "/x/y/z/"),
+        ],
+    );
+    for (host, path, expected) in [
+        ("a.example", "/x/1", Some("wide")),
+        ("a.example", "/x/y/1", Some("narrow")),
+        ("A.example", "/x/y/z/1", Some("narrow")),
+        ("b.example", "/x/y/z/1", Some("other")),
+        ("b.example", "/x/1", None),
+        ("a.example", "/x", None),
+        ("c.example", "/x/1", None),
+    ] {
+        let found = find_route(&all, host, path).map(|route| route.name.as_str());
+        assert_eq!(found, expected, "{host}{path}");
+    }
+}
--- /dev/null
+++ b/crates/watch/src/follower.rs
@@ -0,0 +1,132 @@
+//! Keeps a listener up to date with one table.
+
+use {
+    crate::{Backoff, Changes, Listener, Revision, Source, SourceError, suspension_clock},
+    rand::Rng,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// How often and how patiently a table is asked.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    /// Longest time that the store may keep a call waiting for changes.
+    pub wait: Duration,
+    /// Time that an answer may take beyond that.
+    pub answer: Duration,
+    /// First pause after a failed call.
+    pub first_pause: Duration,
+    /// Longest pause after failed calls.
+    pub longest_pause: Duration,
+}
+
+/// Times that the bound on an answer is raised while the store is slow.
+const MOST_PATIENCE: u32 = 4;
+
+/// Follows one table.
+pub struct Follower<S, L, R> {
+    table: String,
+    source: S,
+    listener: L,
+    random: R,
+    pace: Pace,
+    revision: Option<Revision>,
+    backoff: Backoff,
+    patience: u32,
+    is_lost: bool,
+}
+
+impl<S: Source, L: Listener, R: Rng> Follower<S, L, R> {
+    /// Prepares to follow a table; nothing is read yet.
+    pub fn new(table: impl Into<String>, source: S, listener: L, random: R, pace: Pace) -> Self {
+        Self {
+            table: table.into(),
+            source,
+            listener,
+            random,
+            pace,
+            revision: None,
+            backoff: Backoff::new(pace.first_pause, pace.longest_pause),
+            patience: 1,
+            is_lost: false,
+        }
+    }
+
+    /// Follows the table until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            self.step().await;
+        }
+    }
+
+    /// Makes one call and tells the listener what came of it.
+    pub async fn step(&mut self) {
+        let result = match self.revision {
+            None => self.list().await,
+            Some(revision) => self.poll(revision).await,
+        };
+        match result {
+            Ok(()) => self.on_success(),
+            Err(error) => self.on_failure(&error).await,
+        }
+    }
+
+    async fn list(&mut self) -> Result<(), SourceError> {
+        let asked_at = suspension_clock();
+        let timeout = self.pace.answer * self.patience;
+        let listing = self.source.list(&self.table, timeout).await?;
+        self.revision = Some(listing.revision);
+        self.listener.on_listing(listing.rows, asked_at);
+        Ok(())
+    }
+
+    async fn poll(&mut self, since: Revision) -> Result<(), SourceError> {
+        let asked_at = suspension_clock();
+        let timeout = self.pace.wait + self.pace.answer * self.patience;
+        let Changes { revision, changes } = self
+            .source
+            .changes(&self.table, since, self.pace.wait, timeout)
+            .await?;
+        if revision < since {
+            return Err(SourceError::Refused(format!(
+                "a stale answer: revision {revision} after {since}"
+            )));
+        }
+        self.revision = Some(revision);
+        // An empty answer leaves the store only after the whole wait.
+        let held = if changes.is_empty() {
+            self.pace.wait
+        } else {
+            Duration::ZERO
+        };
+        for change in changes {
+            self.listener.on_change(change);
+        }
+        let as_of = (asked_at + held).min(suspension_clock());
+        self.listener.on_current(as_of);
+        Ok(())
+    }
+
+    fn on_success(&mut self) {
+        self.backoff.reset();
+        self.patience = 1;
+        if std::mem::take(&mut self.is_lost) {
+            self.listener.on_regained();
+        }
+    }
+
+    async fn on_failure(&mut self, error: &SourceError) {
+        if *error == SourceError::HistoryGone {
+            log::info!(table = self.table.as_str(); "the history has a gap; reading the whole table");
+            self.revision = None;
+            return;
+        }
+        if !std::mem::replace(&mut self.is_lost, true) {
+            self.listener.on_lost(error);
+        }
+        if matches!(error, SourceError::Unreachable(_)) {
+            self.patience = (self.patience * 2).min(MOST_PATIENCE);
+        }
+        sleep(self.backoff.next_pause(&mut self.random)).await;
+    }
+}
--- /dev/null
+++ b/crates/watch/src/lib.rs
@@ -0,0 +1,16 @@
+//! Follows a table of the store: reads it whole, then its changes, and recovers from gaps,
+//! outages, silence and stale answers.
+
+mod backoff;
+mod clock;
+mod error;
+mod follower;
+mod source;
+
+pub use {
+    backoff::Backoff,
+    clock::suspension_clock,
+    error::SourceError,
+    follower::{Follower, Pace},
+    source::{Answer, Change, Changes, Listener, Listing, Revision, Row, Source},
+};
