Bound the prompts before a request by the service's least objective

Cause: only prompts with a long objective passed while 500 ms waited; quick questions were refused. Change: the unread prompts before a request may take 0.6 of the least objective of the service.

--- a/bin/router/src/cli.rs
+++ b/bin/router/src/cli.rs
@@ -30,5 +30,6 @@
         log::info!("signal {signal} was received");
     }
     router.drain();
+    baobab_unit::flush_logs();
     Ok(())
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -16,6 +16,8 @@
 const FETCH_COST: f64 = 0.5;
 /// Cost of a home's rank where nobody is known to hold the shared parts, relative to reading them.
 const RANK_COST: f64 = 0.25;
+/// Share of the bound that may wait before a prompt which is late by its own size.
+const LARGE_QUEUE_SHARE: f64 = 0.25;
 /// Ranks that are told apart.
 const RANKS: usize = 3;
 
@@ -28,6 +30,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Time to the first event that is on time.
     pub objective: Duration,
+    /// Least objective of all requests to the service.
+    pub least_objective: Duration,
     /// Failure domain of the router.
     pub domain: &'a str,
     /// Servers that have failed it.
@@ -431,8 +435,13 @@
             (self.tuning.spare_share, self.tuning.spare_slot_share)
         };
         let bound_ms = millis(ask.objective) * time_share;
-        // A prompt that takes longer than that alone goes where little waits.
-        let is_on_time = wait_ms <= bound_ms || queue_ms <= bound_ms * 0.25;
+        let queue_bound_ms = millis(ask.least_objective) * self.tuning.queue_share;
+        let is_on_time = if wait_ms - queue_ms > bound_ms {
+            // A prompt that takes longer than that alone goes where little waits.
+            queue_ms <= bound_ms * LARGE_QUEUE_SHARE
+        } else {
+            wait_ms <= bound_ms && queue_ms <= queue_bound_ms
+        };
         let has_slot = (load.running as f64) < f64::from(server.slots) * slot_share;
         let memory_bound = ask.memory_tokens as f64 * self.tuning.memory_share;
         let has_memory = ask.memory_tokens == 0
--- a/crates/place/src/tuning.rs
+++ b/crates/place/src/tuning.rs
@@ -14,6 +14,9 @@
     pub admit_share: f64,
     /// The same beyond the workspace's share, so that room is left for those below theirs.
     pub spare_share: f64,
+    /// Share of the service's least objective that the prompts before a request may take, so that
+    /// large prompts leave room for quick questions.
+    pub queue_share: f64,
     /// Share of an engine's slots that requests may take within the share.
     pub slot_share: f64,
     /// Share of an engine's slots that requests may take beyond the share.
@@ -37,12 +40,13 @@
             first_event: Duration::from_millis(30),
             admit_share: 0.8,
             spare_share: 0.3,
+            queue_share: 0.6,
             slot_share: 0.69,
             spare_slot_share: 0.31,
             memory_share: 0.9,
             cache_share: 0.6,
             running_cost: Duration::from_millis(2),
-            domain_cost: Duration::from_millis(12),
+            domain_cost: Duration::from_millis(30),
             doubt_cost: Duration::from_millis(400),
         }
     }
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -38,6 +38,8 @@
     pub service: String,
     /// Connections that each server of the service accepts from all routers.
     pub max_connections: u32,
+    /// Least objective of all requests to the service.
+    pub least_objective: Duration,
     /// Set where the servers are engines.
     pub engine: Option<EngineTraits>,
     /// The caller's workspace.
@@ -79,6 +81,7 @@
             service: &self.service,
             prompt: self.engine.as_ref().and(self.prompt.as_ref()),
             objective: self.route.objective,
+            least_objective: self.least_objective,
             domain,
             tried,
             is_within_share,
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -11,6 +11,7 @@
     crate::core::Core,
     baobab_place::Outcome,
     baobab_routing::Repeat,
+    baobab_unit::millis,
     bytes::Bytes,
     http_body::Frame,
     hyper::body::Body,
@@ -62,6 +63,7 @@
     state: State,
     splitter: Option<EventSplitter>,
     tail: [u8; 2],
+    timing: Timing,
     end: Pin<Box<Sleep>>,
     silence: Option<Pin<Box<Sleep>>>,
 }
@@ -79,6 +81,7 @@
             state: State::Reading(exchange),
             splitter: is_resumable.then(EventSplitter::default),
             tail: [b'\n'; 2],
+            timing: Timing::default(),
             end: Box::pin(sleep_until(job.ends_at)),
             silence: is_resumable.then(|| Box::pin(sleep_until(Instant::now() + first_silence))),
         }
@@ -106,6 +109,7 @@
                 }
                 Poll::Ready(Some(Err(reason))) => return self.on_broken(context, reason),
                 Poll::Ready(None) if self.is_at_boundary() => {
+                    self.log_end();
                     self.finish(Outcome::Success);
                     return Poll::Ready(None);
                 }
@@ -192,6 +196,17 @@
         }
     }
 
+    fn log_end(&self) {
+        log::info!(
+            id = self.job.id.as_str(),
+            first_ms = millis(self.timing.first),
+            objective_ms = millis(self.job.route.objective),
+            longest_pause_ms = millis(self.timing.longest_pause),
+            total_ms = millis(self.job.arrived.elapsed());
+            "stream is complete"
+        );
+    }
+
     fn split(&mut self, data: Bytes) -> Bytes {
         if let Some(splitter) = &mut self.splitter {
             return splitter.push(&data);
@@ -218,6 +233,7 @@
     }
 
     fn on_activity(&mut self) {
+        self.timing.on_data(self.job.arrived);
         if let Some(silence) = &mut self.silence {
             let longest = LEAST_SILENCE.max(self.job.route.pause_objective * SILENCE_PAUSES);
             silence.as_mut().reset(Instant::now() + longest);
@@ -225,6 +241,25 @@
     }
 }
 
+/// When the data of a stream came.
+#[derive(Debug, Default)]
+struct Timing {
+    first: Duration,
+    longest_pause: Duration,
+    last_at: Option<Instant>,
+}
+
+impl Timing {
+    fn on_data(&mut self, arrived: Instant) {
+        let now = Instant::now();
+        match self.last_at {
+            Some(last_at) => self.longest_pause = self.longest_pause.max(now - last_at),
+            None => self.first = now - arrived,
+        }
+        self.last_at = Some(now);
+    }
+}
+
 impl Body for StreamBody {
     type Data = Bytes;
     type Error = BrokenStream;
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -132,6 +132,17 @@
 }
 
 impl Configuration {
+    /// Returns the least objective of the routes that a service takes requests of.
+    #[must_use]
+    pub fn least_objective(&self, service: &str) -> Duration {
+        self.routes
+            .iter()
+            .filter(|route| route.targets.iter().any(|target| target.service == service))
+            .map(|route| route.objective)
+            .min()
+            .unwrap_or(Duration::MAX)
+    }
+
     /// Returns how many workspaces there are.
     #[must_use]
     pub fn workspace_count(&self) -> usize {
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -13,6 +13,6 @@
         DomainId, EngineId, HostId, Incarnation, ModelId, PoolId, Sequence, Token, WorkspaceId,
         id_of, pool_id,
     },
-    logs::start_logs,
+    logs::{flush_logs, start_logs},
     window::Window,
 };
