Share what engines really produce between workspaces

Change: routers tell what each workspace was served; the max-min share is of that with a headroom of a tenth, where it is above the declared capacity. A share covers requests of any size. Refusals log what kept each engine out.

--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,10 +20,10 @@
     health::{Health, Outcome},
     load::Load,
     peers::{PeerReport, Peers},
-    placer::{Ask, Declined, Placement, Placer},
+    placer::{Ask, Crowding, Declined, Placement, Placer},
     prompt::{Part, PartId, Prompt},
     registry::Registry,
     server::{Server, ServerId, ServerKey},
-    shares::{Claim, Shares, max_min},
+    shares::{Claim, Claims, Shares, max_min},
     tuning::Tuning,
 };
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -1,7 +1,7 @@
 //! What the other routers have told.
 
 use {
-    crate::{Load, ServerKey},
+    crate::{Claim, Claims, Load, ServerKey},
     baobab_unit::{HostId, WorkspaceId},
     std::{collections::HashMap, time::Duration},
 };
@@ -13,15 +13,15 @@
     pub is_whole: bool,
     /// Unfinished work by server.
     pub loads: Vec<(ServerKey, Load)>,
-    /// Tokens a second that each workspace asks of the router.
-    pub claims: Vec<(WorkspaceId, f64)>,
+    /// What each workspace asks of the router and gets from it.
+    pub claims: Vec<(WorkspaceId, Claim)>,
 }
 
 #[derive(Debug, Default)]
 struct Peer {
     heard_at: Duration,
     loads: HashMap<ServerKey, Load>,
-    claims: HashMap<WorkspaceId, f64>,
+    claims: Claims,
 }
 
 /// Sums of what the live routers have told.
@@ -83,13 +83,15 @@
         self.totals.get(&server).copied().unwrap_or_default()
     }
 
-    /// Returns what each workspace asks of the other routers, in tokens a second.
+    /// Returns what each workspace asks of the other routers and gets from them.
     #[must_use]
-    pub fn claims(&self) -> HashMap<WorkspaceId, f64> {
-        let mut sums: HashMap<WorkspaceId, f64> = HashMap::new();
+    pub fn claims(&self) -> Claims {
+        let mut sums = Claims::new();
         for peer in self.peers.values() {
-            for (&workspace, &rate) in &peer.claims {
-                *sums.entry(workspace).or_default() += rate;
+            for (&workspace, claim) in &peer.claims {
+                let sum = sums.entry(workspace).or_default();
+                sum.asked += claim.asked;
+                sum.served += claim.served;
             }
         }
         sums
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -62,8 +62,31 @@
 pub enum Declined {
     /// The service has no server that may be used.
     NoServer,
-    /// No server would answer on time. Room is expected after this time.
-    Busy(Duration),
+    /// No server would answer on time.
+    Busy(Crowding),
+}
+
+/// Why no engine takes a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Crowding {
+    /// When room is expected.
+    pub room_in: Duration,
+    /// Least time that the prompts before the request take at any engine.
+    pub least_queue: Duration,
+    /// Engines that would answer late.
+    pub late: usize,
+    /// Engines whose slots are taken.
+    pub full: usize,
+    /// Engines whose memory is taken.
+    pub out_of_memory: usize,
+}
+
+/// What keeps an engine from taking a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Obstacle {
+    Late,
+    Slots,
+    Memory,
 }
 
 #[derive(Debug)]
@@ -93,7 +116,8 @@
     wait_ms: f64,
     uncached_tokens: u64,
     held_tokens: u64,
-    admits: bool,
+    queue_ms: f64,
+    obstacle: Option<Obstacle>,
 }
 
 /// All that a router knows of the backend servers.
@@ -140,10 +164,10 @@
             .max_by_key(|candidate| candidate.held_tokens);
         let best = candidates
             .iter()
-            .filter(|candidate| candidate.admits)
+            .filter(|candidate| candidate.obstacle.is_none())
             .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms));
         let Some(best) = best else {
-            return Err(Declined::Busy(self.time_to_room(ask, &candidates)));
+            return Err(Declined::Busy(self.crowding(ask, &candidates)));
         };
         let fetch_from = most_held
             .filter(|holder| ask.can_fetch && holder.held_tokens > best.held_tokens)
@@ -344,7 +368,8 @@
                     wait_ms: 0.0,
                     uncached_tokens: 0,
                     held_tokens: 0,
-                    admits: true,
+                    queue_ms: 0.0,
+                    obstacle: None,
                 }
             })
             .collect()
@@ -416,11 +441,12 @@
             wait_ms,
             uncached_tokens: read_tokens as u64,
             held_tokens,
-            admits: self.admits(ask, prompt, server, load, queue_ms, wait_ms),
+            queue_ms,
+            obstacle: self.obstacle(ask, prompt, server, load, queue_ms, wait_ms),
         }
     }
 
-    fn admits(
+    fn obstacle(
         &self,
         ask: &Ask,
         prompt: &Prompt,
@@ -428,7 +454,7 @@
         load: Load,
         queue_ms: f64,
         wait_ms: f64,
-    ) -> bool {
+    ) -> Option<Obstacle> {
         let (time_share, slot_share) = if ask.is_within_share {
             (self.tuning.admit_share, self.tuning.slot_share)
         } else {
@@ -447,7 +473,12 @@
         let has_memory = ask.memory_tokens == 0
             || (load.memory_tokens + prompt.memory_tokens()) as f64 <= memory_bound
             || load.running == 0;
-        is_on_time && has_slot && has_memory
+        match (has_slot, has_memory, is_on_time) {
+            (false, _, _) => Some(Obstacle::Slots),
+            (_, false, _) => Some(Obstacle::Memory),
+            (_, _, false) => Some(Obstacle::Late),
+            (true, true, true) => None,
+        }
     }
 
     fn common_cost_ms(&self, ask: &Ask, server: &Server) -> f64 {
@@ -471,13 +502,25 @@
             .map_or(0, |state| state.cache.held_prefix_tokens(prompt))
     }
 
-    fn time_to_room(&self, ask: &Ask, candidates: &[Candidate]) -> Duration {
-        let least_ms = candidates
-            .iter()
-            .map(|candidate| candidate.wait_ms)
-            .fold(f64::INFINITY, f64::min);
-        let over_ms = (least_ms - millis(ask.objective) * self.tuning.admit_share).max(0.0);
-        Duration::from_secs_f64(over_ms / 1000.0)
+    fn crowding(&self, ask: &Ask, candidates: &[Candidate]) -> Crowding {
+        let least = |value: fn(&Candidate) -> f64| {
+            candidates.iter().map(value).fold(f64::INFINITY, f64::min)
+        };
+        let count = |obstacle: Obstacle| {
+            candidates
+                .iter()
+                .filter(|candidate| candidate.obstacle == Some(obstacle))
+                .count()
+        };
+        let wait_ms = least(|candidate| candidate.wait_ms);
+        let over_ms = (wait_ms - millis(ask.objective) * self.tuning.admit_share).max(0.0);
+        Crowding {
+            room_in: Duration::from_secs_f64(over_ms / 1000.0),
+            least_queue: Duration::from_secs_f64(least(|candidate| candidate.queue_ms) / 1000.0),
+            late: count(Obstacle::Late),
+            full: count(Obstacle::Slots),
+            out_of_memory: count(Obstacle::Memory),
+        }
     }
 }
 
--- a/crates/place/src/shares.rs
+++ b/crates/place/src/shares.rs
@@ -17,22 +17,29 @@
 const LEAST_RATE: f64 = 1.0;
 /// Time for which an unused share is kept.
 const KEEP_S: f64 = 2.0;
+/// Times what is served that is handed out, so that a growing capacity is found.
+const HEADROOM: f64 = 1.1;
 /// Unused share that is kept at least, in tokens: a few of the largest requests.
 const KEEP_TOKENS: f64 = 120_000.0;
 
-/// What one workspace asks for.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// What one workspace asks for and gets, in tokens a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Claim {
-    /// The workspace.
-    pub workspace: WorkspaceId,
-    /// Tokens a second.
-    pub rate: f64,
+    /// What it asks for.
+    pub asked: f64,
+    /// What it gets.
+    pub served: f64,
 }
 
+/// Claims by workspace.
+pub type Claims = HashMap<WorkspaceId, Claim>;
+
 #[derive(Debug, Default)]
 struct Account {
-    /// Claimed tokens, decaying.
-    claimed: f64,
+    /// Tokens that were asked for, decaying.
+    asked: f64,
+    /// Tokens that were served, decaying.
+    served: f64,
     /// Tokens that may still be used.
     balance: f64,
     /// Whether the claims of all routers together exceed the share.
@@ -62,39 +69,42 @@
             balance: KEEP_TOKENS,
             ..Account::default()
         });
-        account.claimed += tokens as f64;
+        account.asked += tokens as f64;
     }
 
-    /// Tells whether a request is within its workspace's share.
+    /// Tells whether a workspace is within its share. The size of the request is of no account, so
+    /// that large ones are served as often as small ones.
     #[must_use]
-    pub fn covers(&self, workspace: WorkspaceId, tokens: u64) -> bool {
+    pub fn covers(&self, workspace: WorkspaceId) -> bool {
         self.accounts
             .get(&workspace)
-            .is_none_or(|account| !account.is_limited || account.balance >= tokens as f64)
+            .is_none_or(|account| !account.is_limited || account.balance > 0.0)
     }
 
-    /// Takes what a request uses from its workspace's share.
-    pub fn charge(&mut self, workspace: WorkspaceId, tokens: u64) {
+    /// Counts what a request uses. What is used beyond the share, where there is room, is not
+    /// taken from it.
+    pub fn charge(&mut self, workspace: WorkspaceId, tokens: u64, is_within_share: bool) {
         if let Some(account) = self.accounts.get_mut(&workspace) {
-            account.balance = (account.balance - tokens as f64).max(-KEEP_TOKENS);
+            account.served += tokens as f64;
+            if is_within_share {
+                account.balance -= tokens as f64;
+            }
         }
     }
 
-    /// Returns what each workspace asks of this router.
+    /// Returns what each workspace asks of this router and gets from it.
     #[must_use]
-    pub fn claims(&self) -> Vec<Claim> {
+    pub fn claims(&self) -> Claims {
         self.accounts
             .iter()
-            .map(|(&workspace, account)| Claim {
-                workspace,
-                rate: rate(account.claimed),
-            })
+            .map(|(&workspace, account)| (workspace, account.claim()))
             .collect()
     }
 
     /// Refills the shares where a tick has passed. `others` is what the other routers are asked
-    /// for, `capacity` what all engines produce, both in tokens a second.
-    pub fn tick(&mut self, others: &HashMap<WorkspaceId, f64>, capacity: f64, now: Duration) {
+    /// for, `capacity` what all engines produce at least, in tokens a second. Engines that read
+    /// from their caches produce more: what is served counts as the capacity where it is higher.
+    pub fn tick(&mut self, others: &Claims, capacity: f64, now: Duration) {
         let elapsed = now.saturating_sub(self.ticked_at);
         if elapsed < TICK {
             return;
@@ -102,40 +112,51 @@
         self.ticked_at = now;
         let ticks = elapsed.as_secs_f64() / TICK.as_secs_f64();
         let totals = self.totals(others);
-        let share = max_min(&totals, capacity);
+        let served: f64 = totals.values().map(|claim| claim.served).sum();
+        let asked: Vec<f64> = totals.values().map(|claim| claim.asked).collect();
+        let share = max_min(asked, capacity.max(served * HEADROOM));
         for (workspace, account) in &mut self.accounts {
-            let own = rate(account.claimed);
-            let total = own + others.get(workspace).copied().unwrap_or(0.0);
+            let total = totals.get(workspace).map_or(0.0, |claim| claim.asked);
             account.is_limited = total > share;
-            let part = if total > 0.0 { own / total } else { 0.0 };
+            let part = if total > 0.0 { account.claim().asked / total } else { 0.0 };
             let refill = total.min(share) * part;
             let most = (refill * KEEP_S).max(KEEP_TOKENS);
             account.balance = (account.balance + refill * elapsed.as_secs_f64()).min(most);
-            account.claimed *= (1.0 - FORGET).powf(ticks);
+            let kept = (1.0 - FORGET).powf(ticks);
+            account.asked *= kept;
+            account.served *= kept;
         }
         self.accounts
-            .retain(|_, account| rate(account.claimed) >= LEAST_RATE);
+            .retain(|_, account| account.claim().asked >= LEAST_RATE);
     }
 
-    fn totals(&self, others: &HashMap<WorkspaceId, f64>) -> Vec<Claim> {
-        let mut sums = others.clone();
-        for claim in self.claims() {
-            *sums.entry(claim.workspace).or_default() += claim.rate;
+    fn totals(&self, others: &Claims) -> Claims {
+        let mut totals = others.clone();
+        for (workspace, claim) in self.claims() {
+            let total = totals.entry(workspace).or_default();
+            total.asked += claim.asked;
+            total.served += claim.served;
+        }
+        totals
+    }
+}
+
+impl Account {
+    fn claim(&self) -> Claim {
+        Claim {
+            asked: rate(self.asked),
+            served: rate(self.served),
         }
-        sums.into_iter()
-            .map(|(workspace, rate)| Claim { workspace, rate })
-            .collect()
     }
 }
 
 /// Returns the most that any workspace gets: those that ask for less get all they ask for.
 #[must_use]
-pub fn max_min(claims: &[Claim], capacity: f64) -> f64 {
-    let mut rates: Vec<f64> = claims.iter().map(|claim| claim.rate).collect();
-    rates.sort_by(f64::total_cmp);
+pub fn max_min(mut asked: Vec<f64>, capacity: f64) -> f64 {
+    asked.sort_by(f64::total_cmp);
     let mut left = capacity;
-    for (index, rate) in rates.iter().enumerate() {
-        let even = left / (rates.len() - index) as f64;
+    for (index, rate) in asked.iter().enumerate() {
+        let even = left / (asked.len() - index) as f64;
         if *rate >= even {
             return even;
         }
@@ -144,6 +165,6 @@
     f64::INFINITY
 }
 
-fn rate(claimed: f64) -> f64 {
-    claimed * FORGET / TICK.as_secs_f64()
+fn rate(decaying: f64) -> f64 {
+    decaying * FORGET / TICK.as_secs_f64()
 }
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -9,8 +9,9 @@
         retry_after::{Load, retry_after},
     },
     crate::core::Core,
-    baobab_place::{Declined, Outcome, Placement, ServerKey},
+    baobab_place::{Crowding, Declined, Outcome, Placement, ServerKey},
     baobab_routing::Repeat,
+    baobab_unit::millis,
     bytes::{Bytes, BytesMut},
     http::{header::CONTENT_LENGTH, response},
     std::{future::poll_fn, rc::Rc, time::Duration},
@@ -68,6 +69,7 @@
             id = job.id.as_str(),
             server = placement.server.id.as_str(),
             attempt = attempts.sent + 1,
+            time_left_ms = millis(job.time_left()),
             foretold_ms = placement.foretold.as_millis(),
             unread = placement.uncached_tokens,
             fetches = placement.fetch_from.is_some();
@@ -106,7 +108,7 @@
         let result = core.placer.borrow().place(&ask, core.now());
         match result {
             Ok(placement) => {
-                charge(core, job);
+                charge(core, job, is_within_share);
                 return Ok(placement);
             }
             Err(Declined::NoServer) => {
@@ -117,9 +119,9 @@
                 );
                 return Err(Problem::later(Reason::NoServer, pause));
             }
-            Err(Declined::Busy(room_in)) => {
+            Err(Declined::Busy(crowding)) => {
                 if Instant::now() >= hold_until {
-                    return Err(refusal(core, job, is_within_share, room_in));
+                    return Err(refusal(core, job, is_within_share, crowding));
                 }
                 let _ = timeout_at(hold_until, core.room.notified()).await;
             }
@@ -131,19 +133,31 @@
     job.caller.as_ref().is_none_or(|caller| {
         core.shares
             .borrow()
-            .covers(caller.workspace, job.claim_tokens())
+            .covers(caller.workspace)
     })
 }
 
-fn charge(core: &Core, job: &Job) {
+fn charge(core: &Core, job: &Job, is_within_share: bool) {
     if let Some(caller) = &job.caller {
         core.shares
             .borrow_mut()
-            .charge(caller.workspace, job.claim_tokens());
+            .charge(caller.workspace, job.claim_tokens(), is_within_share);
     }
 }
 
-fn refusal(core: &Core, job: &Job, is_within_share: bool, room_in: Duration) -> Problem {
+fn refusal(core: &Core, job: &Job, is_within_share: bool, crowding: Crowding) -> Problem {
+    log::info!(
+        id = job.id.as_str(),
+        is_within_share,
+        least_queue_ms = millis(crowding.least_queue),
+        late = crowding.late,
+        full = crowding.full,
+        out_of_memory = crowding.out_of_memory,
+        time_left_ms = millis(job.time_left()),
+        objective_ms = millis(job.route.objective);
+        "no engine would answer on time"
+    );
+    let room_in = crowding.room_in;
     let (reason, load) = if is_within_share {
         (Reason::Busy, Load::Busy { room_in })
     } else {
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -1,7 +1,7 @@
 //! News of one router, and its wire form.
 
 use {
-    baobab_place::{Load, Part, PeerReport, ServerKey},
+    baobab_place::{Claim, Load, Part, PeerReport, ServerKey},
     baobab_unit::WorkspaceId,
     serde::{Deserialize, Serialize},
 };
@@ -35,7 +35,8 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct WireClaim {
     workspace: u32,
-    tokens_per_s: u32,
+    asked: u32,
+    served: u32,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -100,20 +101,25 @@
     }
 }
 
-impl From<&(WorkspaceId, f64)> for WireClaim {
+impl From<&(WorkspaceId, Claim)> for WireClaim {
+    // A cast from a float saturates.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn from((workspace, rate): &(WorkspaceId, f64)) -> Self {
+    fn from((workspace, claim): &(WorkspaceId, Claim)) -> Self {
         Self {
             workspace: *workspace,
-            // A cast from a float saturates.
-            tokens_per_s: *rate as u32,
+            asked: claim.asked as u32,
+            served: claim.served as u32,
         }
     }
 }
 
-impl From<WireClaim> for (WorkspaceId, f64) {
+impl From<WireClaim> for (WorkspaceId, Claim) {
     fn from(wire: WireClaim) -> Self {
-        (wire.workspace, f64::from(wire.tokens_per_s))
+        let claim = Claim {
+            asked: f64::from(wire.asked),
+            served: f64::from(wire.served),
+        };
+        (wire.workspace, claim)
     }
 }
 
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -103,12 +103,7 @@
 fn news(core: &Core, is_whole: bool, tells_claims: bool) -> News {
     let mut placer = core.placer.borrow_mut();
     let claims = if tells_claims || is_whole {
-        core.shares
-            .borrow()
-            .claims()
-            .into_iter()
-            .map(|claim| (claim.workspace, claim.rate))
-            .collect()
+        core.shares.borrow().claims().into_iter().collect()
     } else {
         Vec::new()
     };
