Serve callers that come back late after those that can be on time; know caches better

Change: a request with less than 0.845 of its route's time takes what others leave and is not counted as asked again; all parts are told, uses are told anew after 2 s; the holder that used a part last is asked.

--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -8,6 +8,9 @@
 /// Room that is left free before parts are forgotten together, so that eviction is rare.
 const SLACK_DIVISOR: u64 = 8;
 
+/// Time after which another use of a part is news, so that all routers forget in the same order.
+const REFRESH: Duration = Duration::from_secs(2);
+
 #[derive(Debug)]
 struct Held {
     tokens: u64,
@@ -38,7 +41,8 @@
         self.capacity_tokens = capacity_tokens;
     }
 
-    /// Notes that the engine reads a part. Returns whether it was unknown before.
+    /// Notes that the engine uses a part. Returns whether that is news: the part was unknown, or
+    /// had not been used for a while.
     pub fn touch(&mut self, part: Part, now: Duration) -> bool {
         let mut is_new = false;
         let held = self.parts.entry(part.id).or_insert_with(|| {
@@ -48,12 +52,13 @@
                 used_at: now,
             }
         });
+        let is_refreshed = now.saturating_sub(held.used_at) > REFRESH;
         held.used_at = held.used_at.max(now);
         if is_new {
             self.held_tokens += part.tokens;
             self.evict();
         }
-        is_new
+        is_new || is_refreshed
     }
 
     /// Tells whether the engine probably holds a part.
@@ -62,6 +67,12 @@
         self.parts.contains_key(&id)
     }
 
+    /// Returns when the engine last used a part.
+    #[must_use]
+    pub fn used_at(&self, id: PartId) -> Option<Duration> {
+        self.parts.get(&id).map(|held| held.used_at)
+    }
+
     /// Returns how many tokens of a prompt's beginning are held; a part counts only where all
     /// parts before it are held too.
     #[must_use]
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,7 +20,7 @@
     health::{Health, Outcome},
     load::Load,
     peers::{PeerReport, Peers},
-    placer::{Ask, Crowding, Declined, Placement, Placer},
+    placer::{Ask, Crowding, Declined, Placement, Placer, Standing},
     prompt::{Part, PartId, Prompt},
     registry::Registry,
     server::{Server, ServerId, ServerKey},
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -13,14 +13,25 @@
 /// Bounds of an engine's pace: times slower than foretold.
 const PACE_BOUNDS: (f64, f64) = (0.5, 8.0);
 /// Cost of fetching a token from another engine, relative to reading it.
-const FETCH_COST: f64 = 0.5;
+const FETCH_COST: f64 = 1.0;
 /// Cost of a home's rank where nobody is known to hold the shared parts, relative to reading them.
-const RANK_COST: f64 = 0.25;
+const RANK_COST: f64 = 0.5;
 /// Share of the bound that may wait before a prompt which is late by its own size.
 const LARGE_QUEUE_SHARE: f64 = 0.25;
 /// Ranks that are told apart.
 const RANKS: usize = 3;
 
+/// A request's claim to room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It is within its workspace's share and can still be on time.
+    WithinShare,
+    /// It is within the share but late already: it takes what those that can be on time leave.
+    Late,
+    /// Its workspace has used its share.
+    BeyondShare,
+}
+
 /// A request that needs a server.
 #[derive(Debug)]
 pub struct Ask<'a> {
@@ -36,8 +47,8 @@
     pub domain: &'a str,
     /// Servers that have failed it.
     pub tried: &'a [ServerKey],
-    /// Whether it is within its workspace's share.
-    pub is_within_share: bool,
+    /// Its claim to room.
+    pub standing: Standing,
     /// Whether engines of the service fetch cached parts from one another.
     pub can_fetch: bool,
     /// Memory of each engine of the service, in tokens; zero where unknown.
@@ -53,6 +64,10 @@
     pub foretold: Duration,
     /// Prompt tokens that the server has to read.
     pub uncached_tokens: u64,
+    /// Prompt tokens that the server holds.
+    pub held_tokens: u64,
+    /// Most prompt tokens that any server of the service holds.
+    pub most_held_tokens: u64,
     /// Engine that holds more of the prompt's shared parts.
     pub fetch_from: Option<SocketAddr>,
 }
@@ -116,6 +131,7 @@
     wait_ms: f64,
     uncached_tokens: u64,
     held_tokens: u64,
+    used_at: Option<Duration>,
     queue_ms: f64,
     obstacle: Option<Obstacle>,
 }
@@ -159,9 +175,10 @@
             Some(prompt) => self.engines(ask, prompt, &servers),
             None => self.plain(ask, &servers),
         };
+        // Of several holders, the one that used the parts last has hardly evicted them.
         let most_held = candidates
             .iter()
-            .max_by_key(|candidate| candidate.held_tokens);
+            .max_by_key(|candidate| (candidate.held_tokens, candidate.used_at));
         let best = candidates
             .iter()
             .filter(|candidate| candidate.obstacle.is_none())
@@ -176,6 +193,8 @@
             server: best.server.clone(),
             foretold: Duration::from_secs_f64(best.wait_ms / 1000.0),
             uncached_tokens: best.uncached_tokens,
+            held_tokens: best.held_tokens,
+            most_held_tokens: most_held.map_or(0, |holder| holder.held_tokens),
             fetch_from,
         })
     }
@@ -264,9 +283,11 @@
         }
     }
 
-    /// Returns the parts that engines were sent for the first time since the last call.
-    pub fn take_told_parts(&mut self) -> Vec<(ServerKey, Part)> {
-        std::mem::take(&mut self.told_parts)
+    /// Returns parts that engines have used and that the other routers do not know of yet, `most`
+    /// of them at a time.
+    pub fn take_told_parts(&mut self, most: usize) -> Vec<(ServerKey, Part)> {
+        let taken = self.told_parts.len().min(most);
+        self.told_parts.drain(..taken).collect()
     }
 
     /// Returns this router's load by server: all of it, or what has changed since the last call.
@@ -368,6 +389,7 @@
                     wait_ms: 0.0,
                     uncached_tokens: 0,
                     held_tokens: 0,
+                    used_at: None,
                     queue_ms: 0.0,
                     obstacle: None,
                 }
@@ -387,7 +409,7 @@
             .map(|server| self.held_tokens(server.key, prompt))
             .collect();
         let most_held = held.iter().copied().max().unwrap_or(0);
-        let is_unknown = most_held < shared_tokens;
+        let is_unknown = shared_tokens > 0;
         let homes = if is_unknown {
             homes(prompt, servers)
         } else {
@@ -441,6 +463,7 @@
             wait_ms,
             uncached_tokens: read_tokens as u64,
             held_tokens,
+            used_at: self.used_at(server.key, prompt),
             queue_ms,
             obstacle: self.obstacle(ask, prompt, server, load, queue_ms, wait_ms),
         }
@@ -455,10 +478,11 @@
         queue_ms: f64,
         wait_ms: f64,
     ) -> Option<Obstacle> {
-        let (time_share, slot_share) = if ask.is_within_share {
-            (self.tuning.admit_share, self.tuning.slot_share)
-        } else {
-            (self.tuning.spare_share, self.tuning.spare_slot_share)
+        let (time_share, slot_share) = match ask.standing {
+            Standing::WithinShare => (self.tuning.admit_share, self.tuning.slot_share),
+            Standing::Late | Standing::BeyondShare => {
+                (self.tuning.spare_share, self.tuning.spare_slot_share)
+            }
         };
         let bound_ms = millis(ask.objective) * time_share;
         let queue_bound_ms = millis(ask.least_objective) * self.tuning.queue_share;
@@ -502,6 +526,11 @@
             .map_or(0, |state| state.cache.held_prefix_tokens(prompt))
     }
 
+    fn used_at(&self, key: ServerKey, prompt: &Prompt) -> Option<Duration> {
+        let state = self.states.get(&key)?;
+        state.cache.used_at(prompt.last_shared()?.id)
+    }
+
     fn crowding(&self, ask: &Ask, candidates: &[Candidate]) -> Crowding {
         let least = |value: fn(&Candidate) -> f64| {
             candidates.iter().map(value).fold(f64::INFINITY, f64::min)
--- a/crates/place/src/shares.rs
+++ b/crates/place/src/shares.rs
@@ -5,6 +5,7 @@
 //! routers were asked for and hands out its own part of them.
 
 use {
+    crate::Standing,
     baobab_unit::WorkspaceId,
     std::{collections::HashMap, time::Duration},
 };
@@ -83,10 +84,10 @@
 
     /// Counts what a request uses. What is used beyond the share, where there is room, is not
     /// taken from it.
-    pub fn charge(&mut self, workspace: WorkspaceId, tokens: u64, is_within_share: bool) {
+    pub fn charge(&mut self, workspace: WorkspaceId, tokens: u64, standing: Standing) {
         if let Some(account) = self.accounts.get_mut(&workspace) {
             account.served += tokens as f64;
-            if is_within_share {
+            if standing == Standing::WithinShare {
                 account.balance -= tokens as f64;
             }
         }
--- a/crates/place/src/tuning.rs
+++ b/crates/place/src/tuning.rs
@@ -38,10 +38,10 @@
         Self {
             read_tokens_per_ms: 40.0,
             first_event: Duration::from_millis(30),
-            admit_share: 0.45,
+            admit_share: 0.6,
             spare_share: 0.3,
-            queue_share: 0.3,
-            slot_share: 0.5,
+            queue_share: 0.5,
+            slot_share: 0.65,
             spare_slot_share: 0.31,
             memory_share: 0.9,
             cache_share: 0.6,
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -18,6 +18,9 @@
 const UNCONFIRMED_PAUSE: Duration = Duration::from_millis(500);
 /// When to come back to another router.
 const ELSEWHERE_PAUSE: Duration = Duration::from_millis(60);
+/// Share of its route's timeout that a caller has at least when it asks for the first time. Who has
+/// less has been refused before, and cannot be answered on time any more.
+const FRESH_SHARE: f64 = 0.845;
 /// Expected time of a stream before its first event, at a router that is about to stop.
 const FIRST_EVENT: Duration = Duration::from_millis(500);
 /// Expected time of a generated token.
@@ -64,6 +67,7 @@
         service,
         caller,
         prompt: inbound.prompt,
+        is_late: timeout < route.timeout.mul_f64(FRESH_SHARE),
         arrived,
         ends_at: arrived + timeout,
         may_have_run: Cell::new(false),
--- a/crates/relay/src/callers/service.rs
+++ b/crates/relay/src/callers/service.rs
@@ -63,7 +63,10 @@
         Err(_) => return Err((Problem::new(Reason::BodyTooSlow), Some(job.id))),
     }
     core.count_request(&job.service);
-    if let Some(caller) = &job.caller {
+    // A request that comes back was counted when it came first.
+    if let Some(caller) = &job.caller
+        && !job.is_late
+    {
         core.shares
             .borrow_mut()
             .claim(caller.workspace, job.claim_tokens());
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -9,7 +9,7 @@
         retry_after::{Load, retry_after},
     },
     crate::core::Core,
-    baobab_place::{Crowding, Declined, Outcome, Placement, ServerKey},
+    baobab_place::{Crowding, Declined, Outcome, Placement, ServerKey, Standing},
     baobab_routing::Repeat,
     baobab_unit::millis,
     bytes::{Bytes, BytesMut},
@@ -72,6 +72,8 @@
             time_left_ms = millis(job.time_left()),
             foretold_ms = placement.foretold.as_millis(),
             unread = placement.uncached_tokens,
+            held = placement.held_tokens,
+            most_held = placement.most_held_tokens,
             fetches = placement.fetch_from.is_some();
             "request is sent"
         );
@@ -103,12 +105,12 @@
 async fn place(core: &Rc<Core>, job: &Job, attempts: &Attempts) -> Result<Placement, Problem> {
     let hold_until = job.arrived + job.route.objective.mul_f64(HOLD_SHARE);
     loop {
-        let is_within_share = is_within_share(core, job);
-        let ask = job.ask(&core.settings.domain, &attempts.tried, is_within_share);
+        let standing = standing(core, job);
+        let ask = job.ask(&core.settings.domain, &attempts.tried, standing);
         let result = core.placer.borrow().place(&ask, core.now());
         match result {
             Ok(placement) => {
-                charge(core, job, is_within_share);
+                charge(core, job, standing);
                 return Ok(placement);
             }
             Err(Declined::NoServer) => {
@@ -121,7 +123,7 @@
             }
             Err(Declined::Busy(crowding)) => {
                 if Instant::now() >= hold_until {
-                    return Err(refusal(core, job, is_within_share, crowding));
+                    return Err(refusal(core, job, standing, crowding));
                 }
                 let _ = timeout_at(hold_until, core.room.notified()).await;
             }
@@ -129,26 +131,30 @@
     }
 }
 
-fn is_within_share(core: &Core, job: &Job) -> bool {
-    job.caller.as_ref().is_none_or(|caller| {
-        core.shares
-            .borrow()
-            .covers(caller.workspace)
-    })
+fn standing(core: &Core, job: &Job) -> Standing {
+    let is_within_share = job
+        .caller
+        .as_ref()
+        .is_none_or(|caller| core.shares.borrow().covers(caller.workspace));
+    match (is_within_share, job.is_late) {
+        (false, _) => Standing::BeyondShare,
+        (true, true) => Standing::Late,
+        (true, false) => Standing::WithinShare,
+    }
 }
 
-fn charge(core: &Core, job: &Job, is_within_share: bool) {
+fn charge(core: &Core, job: &Job, standing: Standing) {
     if let Some(caller) = &job.caller {
         core.shares
             .borrow_mut()
-            .charge(caller.workspace, job.claim_tokens(), is_within_share);
+            .charge(caller.workspace, job.claim_tokens(), standing);
     }
 }
 
-fn refusal(core: &Core, job: &Job, is_within_share: bool, crowding: Crowding) -> Problem {
+fn refusal(core: &Core, job: &Job, standing: Standing, crowding: Crowding) -> Problem {
     log::info!(
         id = job.id.as_str(),
-        is_within_share,
+        standing:? = standing,
         least_queue_ms = millis(crowding.least_queue),
         late = crowding.late,
         full = crowding.full,
@@ -158,7 +164,7 @@
         "no engine would answer on time"
     );
     let room_in = crowding.room_in;
-    let (reason, load) = if is_within_share {
+    let (reason, load) = if standing != Standing::BeyondShare {
         (Reason::Busy, Load::Busy { room_in })
     } else {
         (Reason::OverShare, Load::OverShare)
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -1,7 +1,7 @@
 //! A request as a router holds it.
 
 use {
-    baobab_place::{Ask, Prompt, ServerKey},
+    baobab_place::{Ask, Prompt, ServerKey, Standing},
     baobab_routing::{EngineTraits, Route},
     baobab_unit::WorkspaceId,
     bytes::Bytes,
@@ -46,6 +46,8 @@
     pub caller: Option<Caller>,
     /// What it asks an engine for.
     pub prompt: Option<Prompt>,
+    /// Whether the caller has waited elsewhere for so long that its answer is late already.
+    pub is_late: bool,
     /// When it arrived.
     pub arrived: Instant,
     /// When it must have its final answer.
@@ -75,7 +77,7 @@
         &'a self,
         domain: &'a str,
         tried: &'a [ServerKey],
-        is_within_share: bool,
+        standing: Standing,
     ) -> Ask<'a> {
         Ask {
             service: &self.service,
@@ -84,7 +86,7 @@
             least_objective: self.least_objective,
             domain,
             tried,
-            is_within_share,
+            standing,
             can_fetch: self
                 .engine
                 .as_ref()
--- a/crates/relay/src/forward/retry_after.rs
+++ b/crates/relay/src/forward/retry_after.rs
@@ -29,7 +29,7 @@
 pub fn retry_after(load: Load, time_left: Duration, draw: f64) -> Duration {
     let willing = time_left.mul_f64(WILLING_SHARE * 0.97);
     let wanted = match load {
-        Load::Busy { room_in } => room_in + willing.mul_f64(0.2 + 0.4 * draw),
+        Load::Busy { room_in } => room_in + willing.mul_f64(0.5 + 0.5 * draw),
         Load::OverShare => willing.mul_f64(0.5 + 0.5 * draw),
         Load::Passing(time) => time.mul_f64(1.0 + draw),
     };
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -107,8 +107,7 @@
     } else {
         Vec::new()
     };
-    let mut parts = placer.take_told_parts();
-    parts.truncate(MOST_PARTS);
+    let parts = placer.take_told_parts(MOST_PARTS);
     News {
         report: PeerReport {
             is_whole,
