Notice the store's return within two seconds

The store was silent from 18 to 26 s; a call that had begun just before its return waited 3.8 s for an answer that never came, the list of servers even 6.5 s. Ruled out: a late decode or apply (version 6 was in force a millisecond after it was read). Change: while a table is out of reach, calls do not wait for changes and their bounds alternate between 0.7 and 2.1 s; the configuration's return interrupts the other followers' calls.

--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -3,8 +3,8 @@
 use {
     crate::{Backoff, Changes, Listener, Revision, Source, SourceError, suspension_clock},
     rand::Rng,
-    std::time::Duration,
-    tokio::time::sleep,
+    std::{rc::Rc, time::Duration},
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// How often and how patiently a table is asked.
@@ -20,8 +20,9 @@
     pub longest_pause: Duration,
 }
 
-/// Times that the bound on an answer is raised while the store is slow.
-const MOST_PATIENCE: u32 = 4;
+/// While the store is out of reach, every other call waits this many times longer for its answer:
+/// short ones notice its return early, long ones get through where it is slow.
+const SLOW_STORE_FACTOR: u32 = 3;
 
 /// Follows one table.
 pub struct Follower<S, L, R> {
@@ -32,13 +33,24 @@
     pace: Pace,
     revision: Option<Revision>,
     backoff: Backoff,
-    patience: u32,
+    failures: u32,
     is_lost: bool,
+    interrupt: Rc<Notify>,
 }
 
 impl<S: Source, L: Listener, R: Rng> Follower<S, L, R> {
     /// Prepares to follow a table; nothing is read yet.
-    pub fn new(table: impl Into<String>, source: S, listener: L, random: R, pace: Pace) -> Self {
+    ///
+    /// `interrupt` ends a call that is under way: others have learnt that the store was away, and
+    /// the call's answer may be lost.
+    pub fn new(
+        table: impl Into<String>,
+        source: S,
+        listener: L,
+        random: R,
+        pace: Pace,
+        interrupt: Rc<Notify>,
+    ) -> Self {
         Self {
             table: table.into(),
             source,
@@ -47,8 +59,9 @@
             pace,
             revision: None,
             backoff: Backoff::new(pace.first_pause, pace.longest_pause),
-            patience: 1,
+            failures: 0,
             is_lost: false,
+            interrupt,
         }
     }
 
@@ -61,9 +74,13 @@
 
     /// Makes one call and tells the listener what came of it.
     pub async fn step(&mut self) {
-        let result = match self.revision {
-            None => self.list().await,
-            Some(revision) => self.poll(revision).await,
+        let interrupt = Rc::clone(&self.interrupt);
+        let result = tokio::select! {
+            result = self.call() => result,
+            () = interrupt.notified() => {
+                self.source.reset();
+                return;
+            }
         };
         match result {
             Ok(()) => self.on_success(),
@@ -71,9 +88,26 @@
         }
     }
 
+    async fn call(&mut self) -> Result<(), SourceError> {
+        match self.revision {
+            None => self.list().await,
+            Some(revision) => self.poll(revision).await,
+        }
+    }
+
+    /// Returns how long the store may keep a call waiting, and how long the answer may take.
+    fn bounds(&self) -> (Duration, Duration) {
+        if !self.is_lost {
+            return (self.pace.wait, self.pace.answer);
+        }
+        let is_patient = self.failures.is_multiple_of(2);
+        let factor = if is_patient { SLOW_STORE_FACTOR } else { 1 };
+        (Duration::ZERO, self.pace.answer * factor)
+    }
+
     async fn list(&mut self) -> Result<(), SourceError> {
         let asked_at = suspension_clock();
-        let timeout = self.pace.answer * self.patience;
+        let (_, timeout) = self.bounds();
         let listing = self.source.list(&self.table, timeout).await?;
         self.revision = Some(listing.revision);
         self.listener.on_listing(listing.rows, asked_at);
@@ -82,10 +116,10 @@
 
     async fn poll(&mut self, since: Revision) -> Result<(), SourceError> {
         let asked_at = suspension_clock();
-        let timeout = self.pace.wait + self.pace.answer * self.patience;
+        let (wait, answer) = self.bounds();
         let Changes { revision, changes } = self
             .source
-            .changes(&self.table, since, self.pace.wait, timeout)
+            .changes(&self.table, since, wait, wait + answer)
             .await?;
         if revision < since {
             return Err(SourceError::Refused(format!(
@@ -95,7 +129,7 @@
         self.revision = Some(revision);
         // An empty answer leaves the store only after the whole wait.
         let held = if changes.is_empty() {
-            self.pace.wait
+            wait
         } else {
             Duration::ZERO
         };
@@ -109,7 +143,7 @@
 
     fn on_success(&mut self) {
         self.backoff.reset();
-        self.patience = 1;
+        self.failures = 0;
         if std::mem::take(&mut self.is_lost) {
             self.listener.on_regained();
         }
@@ -124,9 +158,7 @@
         if !std::mem::replace(&mut self.is_lost, true) {
             self.listener.on_lost(error);
         }
-        if matches!(error, SourceError::Unreachable(_)) {
-            self.patience = (self.patience * 2).min(MOST_PATIENCE);
-        }
+        self.failures += 1;
         sleep(self.backoff.next_pause(&mut self.random)).await;
     }
 }
--- a/crates/watch/src/source.rs
+++ b/crates/watch/src/source.rs
@@ -60,6 +60,9 @@
         wait: Duration,
         timeout: Duration,
     ) -> Answer<'a, Changes>;
+
+    /// Gives up a call that was cancelled, and its connection.
+    fn reset(&mut self);
 }
 
 /// Takes what a follower has learnt.
