Hold less memory for each request

Change: unused connections to servers are kept for 2 s, 8 a server; reads from servers take 4 KB; the body of a request that goes to no other server is dropped when its stream begins.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -15,6 +15,9 @@
     },
 };
 
+/// Size of a read: events and short answers are smaller, and hundreds of connections are open.
+const READ_BUFFER_BYTES: usize = 4096;
+
 /// Bounds of a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -45,7 +48,9 @@
             .map_err(|_| not_sent(format!("no connection to {address} in time")))?
             .map_err(|error| not_sent(format!("no connection to {address}: {error}")))?;
         tune(&stream, options.silence).map_err(|error| not_sent(error.to_string()))?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .read_buf_exact_size(Some(READ_BUFFER_BYTES))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let driver = tokio::task::spawn_local(async move {
--- a/crates/place/src/shares.rs
+++ b/crates/place/src/shares.rs
@@ -119,7 +119,11 @@
         for (workspace, account) in &mut self.accounts {
             let total = totals.get(workspace).map_or(0.0, |claim| claim.asked);
             account.is_limited = total > share;
-            let part = if total > 0.0 { account.claim().asked / total } else { 0.0 };
+            let part = if total > 0.0 {
+                account.claim().asked / total
+            } else {
+                0.0
+            };
             let refill = total.min(share) * part;
             let most = (refill * KEEP_S).max(KEEP_TOKENS);
             account.balance = (account.balance + refill * elapsed.as_secs_f64()).min(most);
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -8,9 +8,12 @@
     },
     baobab_routing::{Configuration, Route, Standing, find_route},
     baobab_unit::id_of,
-    bytes::Bytes,
     http::{header::HOST, request},
-    std::{cell::Cell, sync::Arc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -59,7 +62,7 @@
         method: head.method,
         uri: head.uri,
         headers,
-        body: Bytes::new(),
+        body: RefCell::default(),
         max_connections: declared.map_or(u32::MAX, |service| service.max_connections),
         least_objective: configuration.least_objective(&service),
         engine: declared.and_then(|service| service.engine.clone()),
--- a/crates/relay/src/callers/service.rs
+++ b/crates/relay/src/callers/service.rs
@@ -17,7 +17,7 @@
     http::{HeaderValue, Request, Response, header::CONNECTION},
     http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
-    std::{rc::Rc, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::{Instant, timeout_at},
 };
 
@@ -58,7 +58,7 @@
 ) -> Result<Response<AnswerBody>, Failed> {
     let ends_at = job.ends_at;
     match timeout_at(ends_at, read_body(core, body, under_way)).await {
-        Ok(Ok(body)) => job.body = body,
+        Ok(Ok(body)) => job.body = RefCell::new(body),
         Ok(Err(problem)) => return Err((problem, Some(job.id))),
         Err(_) => return Err((Problem::new(Reason::BodyTooSlow), Some(job.id))),
     }
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -149,7 +149,7 @@
     fetch_from: Option<SocketAddr>,
     resume_after: Option<&str>,
 ) -> Request<Full<bytes::Bytes>> {
-    let mut request = Request::new(Full::new(job.body.clone()));
+    let mut request = Request::new(Full::new(job.body.borrow().clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = job.headers.clone();
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -6,7 +6,10 @@
     baobab_unit::WorkspaceId,
     bytes::Bytes,
     http::{HeaderMap, Method, Uri},
-    std::{cell::Cell, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -30,8 +33,8 @@
     pub uri: Uri,
     /// Headers that are sent on.
     pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
+    /// The whole body, as long as it may be sent again.
+    pub body: RefCell<Bytes>,
     /// Its route.
     pub route: Route,
     /// The service that takes it.
@@ -65,6 +68,11 @@
         self.ends_at.saturating_duration_since(Instant::now())
     }
 
+    /// Gives up the body of a request that is sent to no other server.
+    pub fn drop_body(&self) {
+        self.body.take();
+    }
+
     /// Returns what the request claims of its workspace's share.
     #[must_use]
     pub fn claim_tokens(&self) -> u64 {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -73,6 +73,9 @@
     #[must_use]
     pub fn new(core: &Rc<Core>, job: &Rc<Job>, attempts: Attempts, exchange: Exchange) -> Self {
         let is_resumable = job.route.repeat == Repeat::ResumableStream;
+        if !is_resumable {
+            job.drop_body();
+        }
         let first_silence = LEAST_SILENCE.max(job.route.objective * 2);
         Self {
             core: Rc::clone(core),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -15,11 +15,11 @@
     silence: Duration::from_millis(1500),
 };
 /// Time for which an unused connection is kept where the server does not say.
-const KEEP: Duration = Duration::from_secs(4);
+const KEEP: Duration = Duration::from_millis(2000);
 /// Time before the server's own timeout at which an unused connection is given up.
 const KEEP_MARGIN: Duration = Duration::from_millis(1200);
 /// Unused connections that are kept for each server.
-const MOST_IDLE: usize = 24;
+const MOST_IDLE: usize = 8;
 
 /// How sure a connection has to be for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
