--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -27,7 +27,7 @@
 /// Sums of what the live routers have told.
 #[derive(Debug)]
 pub struct Peers {
-    peers: HashMap<HostId, Peer>,
+    live: HashMap<HostId, Peer>,
     totals: HashMap<ServerKey, Load>,
     silence: Duration,
 }
@@ -37,7 +37,7 @@
     #[must_use]
     pub fn new(silence: Duration) -> Self {
         Self {
-            peers: HashMap::new(),
+            live: HashMap::new(),
             totals: HashMap::new(),
             silence,
         }
@@ -45,7 +45,7 @@
 
     /// Takes a router's news in.
     pub fn on_report(&mut self, host: HostId, report: &PeerReport, now: Duration) {
-        let peer = self.peers.entry(host).or_default();
+        let peer = self.live.entry(host).or_default();
         peer.heard_at = now;
         if report.is_whole {
             for (server, load) in peer.loads.drain() {
@@ -66,7 +66,7 @@
     pub fn expire(&mut self, now: Duration) {
         let silence = self.silence;
         let totals = &mut self.totals;
-        self.peers.retain(|_, peer| {
+        self.live.retain(|_, peer| {
             let is_live = now.saturating_sub(peer.heard_at) <= silence;
             if !is_live {
                 for (&server, &load) in &peer.loads {
@@ -87,7 +87,7 @@
     #[must_use]
     pub fn claims(&self) -> Claims {
         let mut sums = Claims::new();
-        for peer in self.peers.values() {
+        for peer in self.live.values() {
             for (&workspace, claim) in &peer.claims {
                 let sum = sums.entry(workspace).or_default();
                 sum.asked += claim.asked;
@@ -100,13 +100,13 @@
     /// Returns the number of other live routers.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.peers.len()
+        self.live.len()
     }
 
     /// Tells whether no other router is live.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.peers.is_empty()
+        self.live.is_empty()
     }
 }
 
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -318,7 +318,7 @@
 
     /// Sets how much of each engine's memory is counted on for cached parts.
     pub fn set_memory(&mut self, service: &str, memory_tokens: u64) {
-        let cache_tokens = (memory_tokens as f64 * self.tuning.cache_share) as u64;
+        let cache_tokens = part_of(memory_tokens, self.tuning.cache_share);
         for server in self.registry.usable(service) {
             let state = self.states.entry(server.key).or_insert_with(State::new);
             state.cache.set_capacity(cache_tokens);
@@ -448,11 +448,11 @@
         } else {
             0
         };
-        let read_tokens = (uncached_tokens - fetched.min(uncached_tokens)) as f64;
+        let read_tokens = uncached_tokens - fetched.min(uncached_tokens);
         let pace = self.states.get(&server.key).map_or(1.0, |state| state.pace);
         let token_ms = pace / self.tuning.read_tokens_per_ms;
         let queue_ms = load.unread_tokens as f64 * token_ms;
-        let wait_ms = queue_ms + read_tokens * token_ms + millis(self.tuning.first_event);
+        let wait_ms = queue_ms + read_tokens as f64 * token_ms + millis(self.tuning.first_event);
         let cost_ms = wait_ms
             + FETCH_COST * fetched as f64 * token_ms
             + load.running as f64 * millis(self.tuning.running_cost)
@@ -461,7 +461,7 @@
             server,
             cost_ms,
             wait_ms,
-            uncached_tokens: read_tokens as u64,
+            uncached_tokens: read_tokens,
             held_tokens,
             used_at: self.used_at(server.key, prompt),
             queue_ms,
@@ -490,7 +490,8 @@
             // A prompt that takes longer than that alone goes where little waits.
             queue_ms <= bound_ms * LARGE_QUEUE_SHARE
         } else {
-            wait_ms <= bound_ms && queue_ms <= queue_bound_ms
+            wait_ms <= bound_ms
+                && (wait_ms <= queue_bound_ms || queue_ms <= queue_bound_ms * LARGE_QUEUE_SHARE)
         };
         let has_slot = (load.running as f64) < f64::from(server.slots) * slot_share;
         let memory_bound = ask.memory_tokens as f64 * self.tuning.memory_share;
@@ -565,6 +566,12 @@
     scored.into_iter().take(RANKS).map(|(_, key)| key).collect()
 }
 
+/// Returns a share of a count of tokens.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn part_of(tokens: u64, share: f64) -> u64 {
+    (tokens as f64 * share) as u64
+}
+
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1000.0
 }
--- a/crates/place/src/registry.rs
+++ b/crates/place/src/registry.rs
@@ -70,7 +70,7 @@
     }
 
     /// Takes the end of an announcement in. Returns true where the server is gone at once.
-    pub fn withdraw(&mut self, id: &ServerId, now: Duration) -> bool {
+    pub fn withdraw(&mut self, id: &str, now: Duration) -> bool {
         let Some(key) = self.key_of(id) else {
             return false;
         };
@@ -132,9 +132,9 @@
             .filter(move |server| server.service == service && !server.is_leaving)
     }
 
-    fn key_of(&self, id: &ServerId) -> Option<ServerKey> {
+    fn key_of(&self, id: &str) -> Option<ServerKey> {
         self.all()
-            .find(|server| server.id == *id)
+            .find(|server| server.id == id)
             .map(|server| server.key)
     }
 
--- a/crates/place/src/tuning.rs
+++ b/crates/place/src/tuning.rs
@@ -40,7 +40,7 @@
             first_event: Duration::from_millis(30),
             admit_share: 0.6,
             spare_share: 0.3,
-            queue_share: 0.5,
+            queue_share: 0.7,
             slot_share: 0.65,
             spare_slot_share: 0.31,
             memory_share: 0.9,
--- /dev/null
+++ b/crates/place/tests/placer.rs
@@ -0,0 +1,317 @@
+//! Choice of a server: load, caches, shares, failures.
+
+use {
+    baobab_place::{
+        Ask, Declined, Load, Outcome, Part, PeerReport, Peers, Placement, Placer, Prompt, Registry,
+        Server, Standing, Tuning,
+    },
+    std::time::Duration,
+};
+
+const SERVICE: &str = "assistant";
+const OBJECTIVE: Duration = Duration::from_millis(800);
+const QUICK: Duration = Duration::from_millis(400);
+const MEMORY_TOKENS: u64 = 600_000;
+const NOW: Duration = Duration::from_secs(10);
+
+fn server(key: u32) -> Server {
+    Server {
+        id: format!("engine-{key}"),
+        key,
+        service: SERVICE.to_owned(),
+        address: ([10, 0, 0, 1], 8000 + u16::try_from(key).unwrap()).into(),
+        domain: "north".to_owned(),
+        slots: 64,
+        is_leaving: false,
+        warm_up: Duration::ZERO,
+        started_unix_ms: None,
+    }
+}
+
+fn placer(engines: u32) -> Placer {
+    let mut registry = Registry::new(Duration::from_secs(2));
+    registry.replace((1..=engines).map(server).collect(), Duration::ZERO);
+    Placer::new(
+        registry,
+        Peers::new(Duration::from_secs(1)),
+        Tuning::default(),
+    )
+}
+
+fn prompt(shared: u64, own: u64, tokens: u64) -> Prompt {
+    let parts = vec![
+        Part {
+            id: shared,
+            tokens: 5_000,
+        },
+        Part {
+            id: own,
+            tokens: tokens - 5_000,
+        },
+    ];
+    Prompt {
+        parts,
+        tokens,
+        output_limit: 400,
+        output_hint: None,
+    }
+}
+
+fn ask<'a>(prompt: &'a Prompt, standing: Standing) -> Ask<'a> {
+    Ask {
+        service: SERVICE,
+        prompt: Some(prompt),
+        objective: OBJECTIVE,
+        least_objective: QUICK,
+        domain: "north",
+        tried: &[],
+        standing,
+        can_fetch: true,
+        memory_tokens: MEMORY_TOKENS,
+    }
+}
+
+fn send(placer: &mut Placer, prompt: &Prompt) -> Option<Placement> {
+    let placement = placer
+        .place(&ask(prompt, Standing::WithinShare), NOW)
+        .ok()?;
+    placer.on_sent(&placement, Some(prompt), NOW);
+    Some(placement)
+}
+
+#[test]
+fn requests_that_share_a_part_go_where_it_was_read() {
+    let mut placer = placer(6);
+    let first = prompt(7, 100, 6_000);
+    let placement = send(&mut placer, &first).unwrap();
+    let mut load = Load {
+        unread_tokens: placement.uncached_tokens,
+        ..Load::default()
+    };
+    let key = placement.server.key;
+    placer.on_first_event(key, &mut load, placement.foretold, placement.foretold);
+    let second = send(&mut placer, &prompt(7, 101, 6_000)).unwrap();
+    assert_eq!(second.server.key, key);
+    assert_eq!(second.uncached_tokens, 1_000);
+    assert_eq!(second.fetch_from, None);
+}
+
+#[test]
+fn a_part_that_another_engine_holds_is_fetched() {
+    let mut placer = placer(2);
+    let first = send(&mut placer, &prompt(7, 100, 6_000)).unwrap();
+    // Another router fills that engine.
+    let report = PeerReport {
+        is_whole: true,
+        loads: vec![(
+            first.server.key,
+            Load {
+                unread_tokens: 30_000,
+                running: 20,
+                memory_tokens: 200_000,
+            },
+        )],
+        claims: Vec::new(),
+    };
+    placer.peers.on_report(9, &report, NOW);
+    let second = send(&mut placer, &prompt(7, 101, 6_000)).unwrap();
+    assert_ne!(second.server.key, first.server.key);
+    assert_eq!(second.fetch_from, Some(first.server.address));
+    assert_eq!(second.uncached_tokens, 1_000);
+}
+
+#[test]
+fn all_routers_choose_the_same_home() {
+    let (mut here, mut there) = (placer(8), placer(8));
+    for part in 1..20 {
+        let (left, right) = (placer(8), placer(8));
+        drop((left, right));
+        let one = send(&mut here, &prompt(part * 1_000, part, 5_500)).unwrap();
+        let other = placer(8);
+        let other = other
+            .place(
+                &ask(&prompt(part * 1_000, part, 5_500), Standing::WithinShare),
+                NOW,
+            )
+            .unwrap();
+        if here.total_load(other.server.key).running <= 1 {
+            assert_eq!(one.server.key, other.server.key, "part {part}");
+        }
+        here = placer(8);
+    }
+    assert!(send(&mut there, &prompt(1, 2, 5_500)).is_some());
+}
+
+#[test]
+fn a_flood_is_refused_before_engines_are_late() {
+    let mut placer = placer(3);
+    let mut foretold = Vec::new();
+    let mut declined = 0;
+    for request in 0..200 {
+        match send(&mut placer, &prompt(request, 10_000 + request, 8_000)) {
+            Some(placement) => foretold.push(placement.foretold),
+            None => declined += 1,
+        }
+    }
+    assert!(declined > 0);
+    assert!(foretold.iter().all(|time| *time <= OBJECTIVE));
+    let request = prompt(999, 9_999, 8_000);
+    let result = placer.place(&ask(&request, Standing::WithinShare), NOW);
+    assert!(matches!(result, Err(Declined::Busy(crowding)) if crowding.late == 3));
+}
+
+#[test]
+fn quick_questions_find_room_beside_a_flood_of_long_prompts() {
+    let mut placer = placer(3);
+    for request in 0..200 {
+        send(&mut placer, &prompt(request, 10_000 + request, 8_000));
+    }
+    let question = Prompt {
+        parts: vec![Part { id: 5, tokens: 300 }, Part { id: 6, tokens: 300 }],
+        tokens: 600,
+        output_limit: 100,
+        output_hint: None,
+    };
+    let mut ask = ask(&question, Standing::WithinShare);
+    ask.objective = QUICK;
+    let placement = placer.place(&ask, NOW).unwrap();
+    assert!(placement.foretold <= QUICK, "{:?}", placement.foretold);
+}
+
+#[test]
+fn the_rest_is_kept_for_those_within_their_share() {
+    let mut placer = placer(3);
+    while placer
+        .place(&ask(&prompt(1, 2, 8_000), Standing::BeyondShare), NOW)
+        .is_ok()
+    {
+        let request = prompt(3, 4, 8_000);
+        send(&mut placer, &request).unwrap();
+    }
+    assert!(
+        placer
+            .place(&ask(&prompt(1, 2, 8_000), Standing::Late), NOW)
+            .is_err()
+    );
+    assert!(
+        placer
+            .place(&ask(&prompt(1, 2, 8_000), Standing::WithinShare), NOW)
+            .is_ok()
+    );
+}
+
+#[test]
+fn a_prompt_too_large_for_the_objective_goes_where_little_waits() {
+    let mut placer = placer(2);
+    let huge = prompt(1, 2, 54_000);
+    assert!(send(&mut placer, &huge).is_some());
+    assert!(send(&mut placer, &prompt(3, 4, 54_000)).is_some());
+    assert!(send(&mut placer, &prompt(5, 6, 54_000)).is_none());
+}
+
+#[test]
+fn memory_bounds_what_runs_together() {
+    let mut placer = placer(1);
+    let report = PeerReport {
+        is_whole: true,
+        loads: vec![(
+            1,
+            Load {
+                unread_tokens: 0,
+                running: 10,
+                memory_tokens: MEMORY_TOKENS * 9 / 10,
+            },
+        )],
+        claims: Vec::new(),
+    };
+    placer.peers.on_report(9, &report, NOW);
+    assert!(send(&mut placer, &prompt(1, 2, 8_000)).is_none());
+}
+
+#[test]
+fn a_silent_router_counts_for_nothing() {
+    let mut placer = placer(1);
+    let report = PeerReport {
+        is_whole: true,
+        loads: vec![(
+            1,
+            Load {
+                unread_tokens: 90_000,
+                running: 60,
+                memory_tokens: 0,
+            },
+        )],
+        claims: Vec::new(),
+    };
+    placer.peers.on_report(9, &report, NOW);
+    assert!(
+        placer
+            .place(&ask(&prompt(1, 2, 8_000), Standing::WithinShare), NOW)
+            .is_err()
+    );
+    placer.expire(NOW + Duration::from_secs(2));
+    assert!(
+        placer
+            .place(&ask(&prompt(1, 2, 8_000), Standing::WithinShare), NOW)
+            .is_ok()
+    );
+}
+
+#[test]
+fn unreachable_servers_are_avoided_but_never_all() {
+    let mut placer = placer(2);
+    placer.on_sent(
+        &placer
+            .place(&ask(&prompt(1, 2, 6_000), Standing::WithinShare), NOW)
+            .unwrap(),
+        None,
+        NOW,
+    );
+    for key in [1, 2] {
+        let load = Load {
+            running: 1,
+            ..Load::default()
+        };
+        placer.on_sent(&placement(key), None, NOW);
+        placer.on_finished(key, load, Some(Outcome::Unreachable), NOW);
+        assert!(
+            placer
+                .place(&ask(&prompt(1, 2, 6_000), Standing::WithinShare), NOW)
+                .is_ok()
+        );
+    }
+}
+
+fn placement(key: u32) -> Placement {
+    Placement {
+        server: server(key),
+        foretold: Duration::ZERO,
+        uncached_tokens: 0,
+        held_tokens: 0,
+        most_held_tokens: 0,
+        fetch_from: None,
+    }
+}
+
+#[test]
+fn a_server_that_was_tried_is_not_chosen_again() {
+    let placer = placer(2);
+    let request = prompt(1, 2, 6_000);
+    let mut again = ask(&request, Standing::WithinShare);
+    again.tried = &[1];
+    assert_eq!(placer.place(&again, NOW).unwrap().server.key, 2);
+    again.tried = &[1, 2];
+    assert!(matches!(placer.place(&again, NOW), Err(Declined::NoServer)));
+}
+
+#[test]
+fn a_restarted_engine_holds_nothing() {
+    let mut placer = placer(1);
+    send(&mut placer, &prompt(7, 8, 6_000)).unwrap();
+    placer.on_restarted(1);
+    let request = prompt(7, 9, 6_000);
+    let placement = placer
+        .place(&ask(&request, Standing::WithinShare), NOW)
+        .unwrap();
+    assert_eq!(placement.held_tokens, 0);
+}
--- /dev/null
+++ b/crates/place/tests/registry.rs
@@ -0,0 +1,97 @@
+//! Announcements that lapse, return, change and end.
+
+use {
+    baobab_place::{Registry, Server},
+    std::time::Duration,
+};
+
+const SETTLE: Duration = Duration::from_secs(2);
+
+fn server(id: &str, key: u32) -> Server {
+    Server {
+        id: id.to_owned(),
+        key,
+        service: "assistant".to_owned(),
+        address: ([10, 0, 0, 1], 8000).into(),
+        domain: "north".to_owned(),
+        slots: 8,
+        is_leaving: false,
+        warm_up: Duration::ZERO,
+        started_unix_ms: Some(1),
+    }
+}
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn usable(registry: &Registry) -> Vec<&str> {
+    registry
+        .usable("assistant")
+        .map(|server| server.id.as_str())
+        .collect()
+}
+
+fn sound() -> Registry {
+    let mut registry = Registry::new(SETTLE);
+    registry.on_list_sound(at(0));
+    registry.replace(vec![server("a", 1), server("b", 2)], at(0));
+    registry
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_work() {
+    let mut registry = sound();
+    let mut leaving = server("a", 1);
+    leaving.is_leaving = true;
+    registry.announce(leaving);
+    assert_eq!(usable(&registry), ["b"]);
+}
+
+#[test]
+fn an_announcement_that_ends_while_the_list_is_sound_is_believed() {
+    let mut registry = sound();
+    assert!(registry.withdraw("a", at(10)));
+    assert_eq!(usable(&registry), ["b"]);
+}
+
+#[test]
+fn a_lapsed_announcement_is_believed_only_after_the_list_has_settled() {
+    let mut registry = sound();
+    registry.on_list_lost();
+    assert!(!registry.withdraw("a", at(10)));
+    registry.on_list_sound(at(12));
+    registry.expire(at(13));
+    assert_eq!(usable(&registry), ["a", "b"]);
+    registry.expire(at(15));
+    assert_eq!(usable(&registry), ["b"]);
+}
+
+#[test]
+fn a_lapsed_announcement_that_returns_stays() {
+    let mut registry = sound();
+    registry.on_list_lost();
+    registry.replace(vec![server("b", 2)], at(10));
+    registry.on_list_sound(at(11));
+    registry.announce(server("a", 1));
+    registry.expire(at(20));
+    assert_eq!(usable(&registry), ["a", "b"]);
+}
+
+#[test]
+fn another_run_under_the_same_identity_is_told() {
+    let mut registry = sound();
+    let mut other = server("a", 1);
+    assert!(!registry.announce(other.clone()));
+    other.started_unix_ms = Some(2);
+    assert!(registry.announce(other));
+}
+
+#[test]
+fn a_server_of_another_service_is_not_used() {
+    let mut registry = sound();
+    let mut other = server("a", 1);
+    other.service = "desk".to_owned();
+    registry.announce(other);
+    assert_eq!(usable(&registry), ["b"]);
+}
--- /dev/null
+++ b/crates/place/tests/shares.rs
@@ -0,0 +1,128 @@
+//! Shares of workspaces under more load than the engines can take.
+
+use {
+    baobab_place::{Claim, Claims, Shares, Standing, max_min},
+    std::time::Duration,
+};
+
+const TICK: Duration = Duration::from_millis(100);
+const LARGE: u32 = 1;
+const SMALL: u32 = 2;
+
+#[test]
+fn max_min_gives_the_small_all_and_the_others_the_same() {
+    for (asked, capacity, expected) in [
+        (vec![], 100.0, f64::INFINITY),
+        (vec![10.0, 20.0], 100.0, f64::INFINITY),
+        (vec![10.0, 200.0, 300.0], 110.0, 50.0),
+        (vec![100.0, 100.0], 100.0, 50.0),
+        (vec![1.0, 1.0, 1000.0], 100.0, 98.0),
+    ] {
+        assert!(
+            (max_min(asked.clone(), capacity) - expected).abs() < 1e-9
+                || max_min(asked.clone(), capacity) == expected,
+            "{asked:?}"
+        );
+    }
+}
+
+/// Plays `seconds` in which each workspace asks every tick for some tokens in requests of a size,
+/// and engines have room for `room` tokens a tick. Returns the tokens that each was served.
+fn play(seconds: u32, demand: [(u32, u64, u64); 2], capacity: f64, room: u64) -> [u64; 2] {
+    let mut shares = Shares::new(Duration::ZERO);
+    let mut served = [0; 2];
+    for tick in 1..=seconds * 10 {
+        let now = TICK * tick;
+        shares.tick(&Claims::new(), capacity, now);
+        let mut left = room;
+        for (index, (workspace, requests, tokens)) in demand.into_iter().enumerate() {
+            for _ in 0..requests {
+                shares.claim(workspace, tokens);
+                if shares.covers(workspace) && left >= tokens {
+                    shares.charge(workspace, tokens, Standing::WithinShare);
+                    left -= tokens;
+                    served[index] += tokens;
+                }
+            }
+        }
+    }
+    served
+}
+
+#[test]
+fn a_flood_of_one_workspace_leaves_the_other_its_share() {
+    // The large one asks for 200,000 tokens a second and is asked first in every tick, the small
+    // one for 40,000; engines produce 100,000.
+    let [large, small] = play(
+        20,
+        [(LARGE, 10, 2_000), (SMALL, 2, 2_000)],
+        100_000.0,
+        10_000,
+    );
+    let asked_by_small = 20 * 40_000;
+    assert!(
+        small * 10 >= asked_by_small * 9,
+        "small got {small} of {asked_by_small}"
+    );
+    assert!(large >= 20 * 50_000, "large got {large}");
+}
+
+#[test]
+fn large_requests_are_served_as_well_as_small_ones() {
+    let [large, small] = play(
+        30,
+        [(LARGE, 1, 20_000), (SMALL, 20, 1_000)],
+        100_000.0,
+        1_000_000,
+    );
+    let ratio = large as f64 / small as f64;
+    assert!((0.8..=1.25).contains(&ratio), "{large} against {small}");
+}
+
+#[test]
+fn capacity_beyond_the_declared_is_shared_too() {
+    // Declared are 50,000 tokens a second; engines that read from caches serve 100,000.
+    let [large, small] = play(
+        30,
+        [(LARGE, 10, 2_000), (SMALL, 10, 2_000)],
+        50_000.0,
+        10_000,
+    );
+    let served = large + small;
+    assert!(served >= 30 * 85_000, "{served} served");
+    let ratio = large as f64 / small as f64;
+    assert!((0.8..=1.25).contains(&ratio), "{large} against {small}");
+}
+
+#[test]
+fn what_other_routers_are_asked_counts() {
+    let mut shares = Shares::new(Duration::ZERO);
+    let mut others = Claims::new();
+    others.insert(
+        LARGE,
+        Claim {
+            asked: 300_000.0,
+            served: 50_000.0,
+        },
+    );
+    let mut covered = 0;
+    for tick in 1..=100_u32 {
+        shares.tick(&others, 100_000.0, TICK * tick);
+        shares.claim(LARGE, 10_000);
+        if shares.covers(LARGE) {
+            shares.charge(LARGE, 10_000, Standing::WithinShare);
+            covered += 10_000;
+        }
+    }
+    // A quarter of what is asked is asked here: so is a quarter of the share, besides the kept 120,000.
+    assert!(covered <= 10 * 25_000 + 140_000, "{covered}");
+    assert!(covered >= 10 * 25_000, "{covered}");
+}
+
+#[test]
+fn room_that_is_left_is_not_taken_from_the_share() {
+    let mut shares = Shares::new(Duration::ZERO);
+    shares.claim(SMALL, 1_000);
+    shares.charge(SMALL, 1_000_000, Standing::BeyondShare);
+    assert!(shares.covers(SMALL));
+}
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -8,7 +8,4 @@
 mod service;
 mod under_way;
 
-pub use {
-    answer::{AnswerBody, problem_answer},
-    listener::{bind, serve},
-};
+pub use listener::{bind, serve};
--- a/crates/relay/src/callers/under_way.rs
+++ b/crates/relay/src/callers/under_way.rs
@@ -16,6 +16,7 @@
     #[must_use]
     pub fn begin(core: &Rc<Core>) -> Self {
         core.under_way.set(core.under_way.get() + 1);
+        core.metrics.under_way.inc();
         Self {
             core: Rc::clone(core),
             held_bytes: 0,
@@ -35,6 +36,7 @@
 impl Drop for UnderWay {
     fn drop(&mut self) {
         self.core.under_way.set(self.core.under_way.get() - 1);
+        self.core.metrics.under_way.dec();
         self.core
             .held_bytes
             .set(self.core.held_bytes.get() - self.held_bytes);
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -10,14 +10,15 @@
     crate::{
         core::Core,
         dialect::{Outbound, Verdict},
-        pool::{Taken, Trust},
+        pool::Trust,
     },
-    baobab_client::SendError,
+    baobab_client::{Connection, SendError},
     baobab_place::{Outcome, Placement},
     baobab_routing::Repeat,
     http::{Request, header::CONNECTION, response},
     http_body_util::Full,
     hyper::body::Incoming,
+    quick_error::quick_error,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -35,19 +36,31 @@
     pub exchange: Exchange,
 }
 
-/// Why an attempt has no answer.
-#[derive(Debug)]
-pub enum Miss {
-    /// Nothing was sent.
-    NotSent(String),
-    /// The server says that it has not run the request.
-    NotRun,
-    /// Another server is at the address; the request has not run.
-    WrongServer,
-    /// The request may have run.
-    Lost(String),
-    /// The server has not answered for so long that another one should.
-    Stalled,
+quick_error! {
+    /// Why an attempt has no answer.
+    #[derive(Debug)]
+    pub enum Miss {
+        /// Nothing was sent.
+        NotSent(reason: String) {
+            display("nothing was sent: {reason}")
+        }
+        /// The server says that it has not run the request.
+        NotRun {
+            display("the server has not run the request")
+        }
+        /// Another server is at the address; the request has not run.
+        WrongServer {
+            display("another server is at the address")
+        }
+        /// The request may have run.
+        Lost(reason: String) {
+            display("the request may have run: {reason}")
+        }
+        /// The server has not answered for so long that another one should.
+        Stalled {
+            display("the server is silent")
+        }
+    }
 }
 
 /// Sends a request to the chosen server and waits for the head of its answer, for `stall` at most
@@ -76,7 +89,7 @@
         None => sending.await,
     };
     match result {
-        Ok((taken, head, body)) => judge(core, job, lease, taken, head, body),
+        Ok((in_use, head, body)) => judge(core, job, lease, in_use, head, body),
         Err(miss) => {
             let outcome = match miss {
                 Miss::NotSent(_) => Outcome::Unreachable,
@@ -99,11 +112,11 @@
     let mut kept = core.pool.take(server.key, trust(job.route.repeat));
     loop {
         let was_kept = kept.is_some();
-        let taken = match kept.take() {
-            Some(taken) => taken,
+        let connection = match kept.take() {
+            Some(connection) => connection,
             None => open(core, job, lease).await?,
         };
-        let mut in_use = InUse::new(core, lease, taken);
+        let mut in_use = InUse::new(core, lease, connection);
         let request = request(core, job, lease, fetch_from, resume_after);
         job.was_sent.set(true);
         match in_use.send(request).await {
@@ -119,7 +132,7 @@
     }
 }
 
-async fn open(core: &Rc<Core>, job: &Job, lease: &LoadLease) -> Result<Taken, Miss> {
+async fn open(core: &Rc<Core>, job: &Job, lease: &LoadLease) -> Result<Connection, Miss> {
     let fleet_size = core.book.borrow().fleet_size();
     let part = f64::from(job.max_connections) * CONNECTION_SHARE / fleet_size as f64;
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -168,7 +181,7 @@
     core: &Rc<Core>,
     job: &Job,
     lease: LoadLease,
-    mut taken: InUse,
+    mut in_use: InUse,
     mut head: response::Parts,
     body: Incoming,
 ) -> Result<Answer, Miss> {
@@ -177,7 +190,7 @@
     let miss = match verdict {
         Verdict::Genuine => {
             remove_hop_headers(&mut head.headers);
-            let Some(connection) = taken.release() else {
+            let Some(connection) = in_use.release() else {
                 return Err(Miss::Lost("the connection is gone".to_owned()));
             };
             let exchange = Exchange::new(core, connection, body, lease, keep);
@@ -188,7 +201,7 @@
         Verdict::Foreign => Miss::Lost("an answer to another request".to_owned()),
     };
     // The connection is closed: what else arrives on it belongs to no request.
-    drop(taken);
+    drop(in_use);
     lease.finish(match miss {
         Miss::NotRun => Outcome::Full,
         Miss::WrongServer => Outcome::Unreachable,
@@ -222,15 +235,15 @@
 struct InUse {
     core: Rc<Core>,
     server: baobab_place::ServerKey,
-    taken: Option<Taken>,
+    connection: Option<Connection>,
 }
 
 impl InUse {
-    fn new(core: &Rc<Core>, lease: &LoadLease, taken: Taken) -> Self {
+    fn new(core: &Rc<Core>, lease: &LoadLease, connection: Connection) -> Self {
         Self {
             core: Rc::clone(core),
             server: lease.server.key,
-            taken: Some(taken),
+            connection: Some(connection),
         }
     }
 
@@ -238,20 +251,20 @@
         &mut self,
         request: Request<Full<bytes::Bytes>>,
     ) -> Result<http::Response<Incoming>, SendError> {
-        match &mut self.taken {
-            Some(taken) => taken.connection.send(request).await,
+        match &mut self.connection {
+            Some(connection) => connection.send(request).await,
             None => Err(SendError::NotSent("the connection is gone".to_owned())),
         }
     }
 
-    fn release(&mut self) -> Option<baobab_client::Connection> {
-        self.taken.take().map(|taken| taken.connection)
+    fn release(&mut self) -> Option<Connection> {
+        self.connection.take()
     }
 }
 
 impl Drop for InUse {
     fn drop(&mut self) {
-        if self.taken.take().is_some() {
+        if self.connection.take().is_some() {
             self.core.pool.discard(self.server);
         }
     }
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -43,6 +43,9 @@
     unreachable: u32,
 }
 
+/// A server's own failure, which is passed on where no other server does better.
+type FailedAnswer = (response::Parts, Bytes);
+
 /// An answer for the caller.
 pub enum Reply {
     /// The whole answer.
@@ -58,7 +61,7 @@
     attempts: &mut Attempts,
     resume_after: Option<&str>,
 ) -> Result<Reply, Problem> {
-    let mut failed_answer: Option<(response::Parts, Bytes)> = None;
+    let mut failed_answer: Option<Box<FailedAnswer>> = None;
     loop {
         let placement = match place(core, job, attempts).await {
             Ok(placement) => placement,
@@ -93,7 +96,7 @@
             },
             Err(miss) => miss,
         };
-        log::info!(id = job.id.as_str(), server, miss:? = miss; "server gave no answer");
+        log::info!(id = job.id.as_str(), server, miss = miss.to_string().as_str(); "server gave no answer");
         attempts.tried.push(server);
         if let Err(problem) = on_miss(core, job, attempts, &miss, server) {
             return last_resort(failed_answer, problem);
@@ -164,10 +167,10 @@
         "no engine would answer on time"
     );
     let room_in = crowding.room_in;
-    let (reason, load) = if standing != Standing::BeyondShare {
-        (Reason::Busy, Load::Busy { room_in })
-    } else {
+    let (reason, load) = if standing == Standing::BeyondShare {
         (Reason::OverShare, Load::OverShare)
+    } else {
+        (Reason::Busy, Load::Busy { room_in })
     };
     Problem::later(reason, retry_after(load, job.time_left(), core.fraction()))
 }
@@ -224,7 +227,7 @@
     job: &Job,
     attempts: &Attempts,
     reply: Reply,
-) -> Result<Reply, (response::Parts, Bytes)> {
+) -> Result<Reply, Box<FailedAnswer>> {
     match reply {
         Reply::Whole(head, body) if head.status.is_server_error() => {
             job.may_have_run.set(true);
@@ -232,7 +235,7 @@
                 && attempts.sent < job.route.max_attempts
                 && core.try_repeat(&job.service, "server_error");
             if may_repeat {
-                Err((head, body))
+                Err(Box::new((head, body)))
             } else {
                 Ok(Reply::Whole(head, body))
             }
@@ -292,11 +295,14 @@
 
 /// Prefers a server's own failure to one of ours, and never promises what is not known.
 fn last_resort(
-    failed_answer: Option<(response::Parts, Bytes)>,
+    failed_answer: Option<Box<FailedAnswer>>,
     problem: Problem,
 ) -> Result<Reply, Problem> {
     match failed_answer {
-        Some((head, body)) => Ok(Reply::Whole(head, body)),
+        Some(answer) => {
+            let (head, body) = *answer;
+            Ok(Reply::Whole(head, body))
+        }
         None => Err(problem),
     }
 }
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -75,12 +75,6 @@
         }
     }
 
-    /// Tells whether any data was read.
-    #[must_use]
-    pub fn has_begun(&self) -> bool {
-        self.has_begun
-    }
-
     /// Returns the server's identity.
     #[must_use]
     pub fn server_key(&self) -> Option<baobab_place::ServerKey> {
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -15,7 +15,7 @@
 };
 
 /// Longest life of a connection here; each carries one short exchange or a few.
-const LIFE: Duration = Duration::from_secs(60);
+const LIFE: Duration = Duration::from_mins(1);
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -50,9 +50,10 @@
 fn answer(core: &Core, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let path = request.uri().path();
     let (status, body) = if path == core.settings.readiness_path {
-        match core.is_ready() {
-            true => (StatusCode::OK, Vec::new()),
-            false => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        if core.is_ready() {
+            (StatusCode::OK, Vec::new())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, Vec::new())
         }
     } else if path == METRICS_PATH {
         (StatusCode::OK, core.metrics.render())
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -15,7 +15,7 @@
     silence: Duration::from_millis(1500),
 };
 /// Time for which an unused connection is kept where the server does not say.
-const KEEP: Duration = Duration::from_millis(2000);
+const KEEP: Duration = Duration::from_secs(2);
 /// Time before the server's own timeout at which an unused connection is given up.
 const KEEP_MARGIN: Duration = Duration::from_millis(1200);
 /// Unused connections that are kept for each server.
@@ -53,18 +53,9 @@
     lines: RefCell<HashMap<ServerKey, Lines>>,
 }
 
-/// A connection that was taken from the pool.
-#[derive(Debug)]
-pub struct Taken {
-    /// The connection.
-    pub connection: Connection,
-    /// Whether it has carried an exchange before.
-    pub is_reused: bool,
-}
-
 impl Pool {
     /// Returns a kept connection.
-    pub fn take(&self, server: ServerKey, trust: Trust) -> Option<Taken> {
+    pub fn take(&self, server: ServerKey, trust: Trust) -> Option<Connection> {
         let mut lines = self.lines.borrow_mut();
         let lines = lines.get_mut(&server)?;
         let longest = match trust {
@@ -82,10 +73,7 @@
                 lines.idle.push(idle);
                 return None;
             }
-            return Some(Taken {
-                connection: idle.connection,
-                is_reused: true,
-            });
+            return Some(idle.connection);
         }
         None
     }
@@ -95,7 +83,7 @@
     /// # Errors
     ///
     /// Fails where the server does not accept, or has `most` connections of this router.
-    pub async fn open(&self, server: &Server, most: usize) -> Result<Taken, SendError> {
+    pub async fn open(&self, server: &Server, most: usize) -> Result<Connection, SendError> {
         {
             let mut lines = self.lines.borrow_mut();
             let lines = lines.entry(server.key).or_default();
@@ -114,10 +102,7 @@
         };
         let connection = Connection::open(server.address, OPTIONS).await?;
         counted.keep();
-        Ok(Taken {
-            connection,
-            is_reused: false,
-        })
+        Ok(connection)
     }
 
     /// Keeps a connection whose exchange has ended, for the time that the server has said.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -29,7 +29,7 @@
 
 /// Time in which the balancer notices that a router is not ready: two questions a second apart,
 /// and a third for one that was just missed.
-const NOTICE: Duration = Duration::from_millis(3000);
+const NOTICE: Duration = Duration::from_secs(3);
 /// Time before the kill at which the process ends, whatever is still under way.
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// Time between two looks at whether everything has ended.
