Tell a request's way from the logs of all routers

Cause: an engineer on call had lines without the id of refused requests, and no tool. Ruled out: a log line for each byte passed on (volume). Change: refusals carry the id, complete answers and callers that leave have a line; baobabctl explain sorts a request's lines and says the cause in words.

--- a/bin/ctl/src/args.rs
+++ b/bin/ctl/src/args.rs
@@ -25,6 +25,7 @@
     Show(ShowArgs),
     Status(StatusArgs),
     Audit(AuditArgs),
+    Explain(ExplainArgs),
 }
 
 /// Checks a declarations file.
@@ -108,3 +109,16 @@
     #[argh(option)]
     pub request: Option<String>,
 }
+
+/// Tells a request's way from the logs of routers.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// identity of the request
+    #[argh(positional)]
+    pub id: String,
+
+    /// log files of the routers
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
--- a/bin/ctl/src/cli.rs
+++ b/bin/ctl/src/cli.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         args::{Args, Command},
-        audit, declarations, status,
+        audit, declarations, explain, status,
     },
     std::error::Error,
 };
@@ -26,5 +26,6 @@
         Some(Command::Show(args)) => declarations::show(&args),
         Some(Command::Status(args)) => status::print(&args),
         Some(Command::Audit(args)) => audit::verify(&args),
+        Some(Command::Explain(args)) => explain::print(&args),
     }
 }
--- /dev/null
+++ b/bin/ctl/src/explain.rs
@@ -0,0 +1,146 @@
+//! `baobabctl explain`: a request's way, from the logs of all routers.
+
+use {
+    crate::{args::ExplainArgs, cli::Outcome},
+    serde_json::{Map, Value},
+    std::{fs, path::Path},
+};
+
+/// One log line about the request.
+#[derive(Debug)]
+struct Line {
+    time: String,
+    /// What stands before the JSON, such as a host's name.
+    origin: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+/// Prints the lines of a request in the order of their time, and the cause of its end in words.
+pub fn print(args: &ExplainArgs) -> Outcome {
+    let mut lines = Vec::new();
+    for file in &args.files {
+        lines.extend(read(file, &args.id)?);
+    }
+    if lines.is_empty() {
+        return Err(format!("no line tells of the request {}", args.id).into());
+    }
+    lines.sort_by(|left, right| left.time.cmp(&right.time));
+    for line in &lines {
+        println!(
+            "{} {} {}{}",
+            line.time,
+            line.origin,
+            line.message,
+            fields(&line.fields)
+        );
+    }
+    println!("cause: {}", cause(&lines));
+    Ok(())
+}
+
+fn read(file: &Path, id: &str) -> Result<Vec<Line>, String> {
+    let text = fs::read_to_string(file)
+        .map_err(|error| format!("cannot read {}: {error}", file.display()))?;
+    Ok(text.lines().filter_map(|line| parse(line, id)).collect())
+}
+
+fn parse(line: &str, id: &str) -> Option<Line> {
+    let start = line.find('{')?;
+    let record: Value = serde_json::from_str(&line[start..]).ok()?;
+    let fields = record["kvs"].as_object()?.clone();
+    if fields.get("id")?.as_str()? != id {
+        return None;
+    }
+    Some(Line {
+        time: record["timestamp"].as_str()?.to_owned(),
+        origin: line[..start].trim().to_owned(),
+        message: record["message"].as_str()?.to_owned(),
+        fields,
+    })
+}
+
+fn fields(fields: &Map<String, Value>) -> String {
+    let mut text = String::new();
+    for (key, value) in fields.iter().filter(|(key, _)| *key != "id") {
+        text += &format!(" {key}={}", plain(value));
+    }
+    text
+}
+
+fn plain(value: &Value) -> String {
+    value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_owned)
+}
+
+/// Says why the request ended as it did.
+fn cause(lines: &[Line]) -> String {
+    let Some(last) = lines.last() else {
+        return "unknown".to_owned();
+    };
+    let field = |name: &str| last.fields.get(name).map(plain).unwrap_or_default();
+    match last.message.as_str() {
+        "request is refused" => refusal(&field("reason"), lines),
+        "stream is complete" => format!(
+            "answered; the first event came after {} ms of {} ms, the longest pause was {} ms",
+            field("first_ms"),
+            field("objective_ms"),
+            field("longest_pause_ms")
+        ),
+        "answer is complete" => format!(
+            "answered with {} after {} ms",
+            field("status"),
+            field("total_ms")
+        ),
+        "stream breaks off" => format!("the stream could not go on: {}", field("reason")),
+        "stream breaks off at its timeout" => "its route's timeout ended the stream".to_owned(),
+        "caller has left" => "the caller left before its answer was complete".to_owned(),
+        "request is sent" => {
+            "it was sent and nothing tells of its end: the router ended".to_owned()
+        }
+        other => other.to_owned(),
+    }
+}
+
+fn refusal(reason: &str, lines: &[Line]) -> String {
+    let crowding = lines
+        .iter()
+        .rev()
+        .find(|line| line.message == "no engine would answer on time");
+    let engines = crowding.map(|line| {
+        let field = |name: &str| line.fields.get(name).map(plain).unwrap_or_default();
+        format!(
+            ": {} engines late, {} full, {} out of memory, the shortest queue {} ms of {} ms",
+            field("late"),
+            field("full"),
+            field("out_of_memory"),
+            field("least_queue_ms"),
+            field("objective_ms")
+        )
+    });
+    let engines = engines.unwrap_or_default();
+    match reason {
+        "busy" => format!("not run: no engine would have answered on time{engines}"),
+        "over_share" => {
+            format!("not run: its workspace had used its share and no room was left over{engines}")
+        }
+        "configuration_unconfirmed" => {
+            "not run: the router had not heard from the store for longer than keys may be accepted"
+                .to_owned()
+        }
+        "no_configuration" => "not run: the router had no configuration yet".to_owned(),
+        "no_route" => "not run: no route takes its host and path".to_owned(),
+        "unknown_key" => "not run: its key is in no workspace".to_owned(),
+        "no_server" => "not run: its service had no server".to_owned(),
+        "servers_refused" => "not run: the servers that were asked refused it".to_owned(),
+        "servers_unreachable" => "not run: no server could be reached".to_owned(),
+        "stopping" => "not run: the router was about to stop".to_owned(),
+        "server_failed" => {
+            "it may have run: a server failed or broke off and nobody else may be asked".to_owned()
+        }
+        "timeout" => "it may have run: its time ran out at the server".to_owned(),
+        "timeout_unsent" => "not run: its time ran out before it was sent".to_owned(),
+        other => format!("refused: {other}"),
+    }
+}
--- a/bin/ctl/src/main.rs
+++ b/bin/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod cli;
 mod declarations;
+mod explain;
 mod status;
 
 use std::process::ExitCode;
--- a/crates/place/src/registry.rs
+++ b/crates/place/src/registry.rs
@@ -56,17 +56,15 @@
 
     /// Takes one announcement in. Returns true where it starts another run of a known server.
     pub fn announce(&mut self, server: Server) -> bool {
-        let before = self.entries.insert(
-            server.key,
-            Entry {
-                server: server.clone(),
-                missing_since: None,
-            },
-        );
-        before.is_some_and(|entry| {
-            entry.server.started_unix_ms != server.started_unix_ms
-                || entry.server.address != server.address
-        })
+        let is_another_run = self.get(server.key).is_some_and(|before| {
+            before.started_unix_ms != server.started_unix_ms || before.address != server.address
+        });
+        let entry = Entry {
+            server,
+            missing_since: None,
+        };
+        self.entries.insert(entry.server.key, entry);
+        is_another_run
     }
 
     /// Takes the end of an announcement in. Returns true where the server is gone at once.
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -57,7 +57,7 @@
     }
 }
 
-fn ask<'a>(prompt: &'a Prompt, standing: Standing) -> Ask<'a> {
+fn ask(prompt: &Prompt, standing: Standing) -> Ask<'_> {
     Ask {
         service: SERVICE,
         prompt: Some(prompt),
@@ -120,24 +120,14 @@
 
 #[test]
 fn all_routers_choose_the_same_home() {
-    let (mut here, mut there) = (placer(8), placer(8));
     for part in 1..20 {
-        let (left, right) = (placer(8), placer(8));
-        drop((left, right));
-        let one = send(&mut here, &prompt(part * 1_000, part, 5_500)).unwrap();
-        let other = placer(8);
-        let other = other
-            .place(
-                &ask(&prompt(part * 1_000, part, 5_500), Standing::Modest),
-                NOW,
-            )
-            .unwrap();
-        if here.total_load(other.server.key).running <= 1 {
-            assert_eq!(one.server.key, other.server.key, "part {part}");
-        }
-        here = placer(8);
+        let request = prompt(part * 1_000, part, 5_500);
+        let chosen = [placer(8), placer(8)].map(|router| {
+            let placement = router.place(&ask(&request, Standing::Modest), NOW).unwrap();
+            placement.server.key
+        });
+        assert_eq!(chosen[0], chosen[1], "part {part}");
     }
-    assert!(send(&mut there, &prompt(1, 2, 5_500)).is_some());
 }
 
 #[test]
--- a/crates/place/tests/shares.rs
+++ b/crates/place/tests/shares.rs
@@ -18,17 +18,19 @@
         (vec![100.0, 100.0], 100.0, 50.0),
         (vec![1.0, 1.0, 1000.0], 100.0, 98.0),
     ] {
-        assert!(
-            (max_min(asked.clone(), capacity) - expected).abs() < 1e-9
-                || max_min(asked.clone(), capacity) == expected,
-            "{asked:?}"
-        );
+        let share = max_min(asked.clone(), capacity);
+        assert!(share.total_cmp(&expected).is_eq(), "{asked:?}: {share}");
     }
 }
 
 /// Tokens that may wait at the engines for a workspace that asks for less than its share.
 const BOUND: u64 = 40_000;
 
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn part_of(tokens: u64, share: f64) -> u64 {
+    (tokens as f64 * share) as u64
+}
+
 /// Plays `seconds` in which each workspace asks every tick for some tokens in requests of a size.
 /// Engines read `room` tokens a tick; what waits there is bounded by the workspace's standing.
 /// Returns the tokens that each was served.
@@ -45,9 +47,8 @@
                 let standing = shares.standing(workspace);
                 let bound = match standing {
                     Standing::Modest => BOUND,
-                    Standing::WithinShare { unused } => {
-                        (BOUND as f64 * (0.75 + 0.25 * unused)) as u64
-                    }
+                    Standing::WithinShare { unused } => part_of(BOUND, 0.75 + 0.25 * unused),
+
                     Standing::Late | Standing::BeyondShare => BOUND * 3 / 10,
                 };
                 if waiting + tokens <= bound {
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -32,11 +32,12 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
 /// Checks a head against the configuration in force and prepares the request without its body.
-pub fn admit(core: &Core, head: request::Parts, arrived: Instant) -> Result<Job, Problem> {
-    let inbound = core
-        .dialect
-        .inbound(&head.headers)
-        .map_err(|_| Problem::new(Reason::BadRequest))?;
+pub fn admit(
+    core: &Core,
+    head: request::Parts,
+    inbound: Inbound,
+    arrived: Instant,
+) -> Result<Job, Problem> {
     let (configuration, standing) = core.configuration();
     let Some(configuration) = configuration else {
         return Err(passing(core, Reason::NoConfiguration, &inbound));
--- a/crates/relay/src/callers/service.rs
+++ b/crates/relay/src/callers/service.rs
@@ -13,6 +13,7 @@
             Attempts, Job, Problem, Reason, Reply, RetryLoad, StreamBody, dispatch, retry_after,
         },
     },
+    baobab_unit::millis,
     bytes::{Bytes, BytesMut},
     http::{HeaderValue, Request, Response, header::CONNECTION},
     http_body_util::BodyExt,
@@ -27,16 +28,22 @@
 /// Serves a request; failures become answers.
 pub async fn serve(core: Rc<Core>, request: Request<Incoming>, busy: Busy) -> ServiceResult {
     let arrived = Instant::now();
-    let mut under_way = UnderWay::begin(&core);
     let (head, body) = request.into_parts();
-    let result = match admit(&core, head, arrived) {
+    let inbound = core.dialect.inbound(&head.headers);
+    let id = inbound.as_ref().ok().map(|inbound| inbound.id.clone());
+    let mut under_way = UnderWay::begin(&core, id);
+    let admitted = inbound
+        .map_err(|_| Problem::new(Reason::BadRequest))
+        .and_then(|inbound| admit(&core, head, inbound, arrived));
+    let result = match admitted {
         Ok(job) => run(&core, job, body, &mut under_way).await,
-        Err(problem) => Err((problem, None)),
+        Err(problem) => Err(problem),
     };
+    under_way.on_answer();
     let mut answer = match result {
         Ok(answer) => answer,
-        Err((problem, id)) => {
-            note_refusal(&core, &problem, id.as_deref());
+        Err(problem) => {
+            note_refusal(&core, &problem, under_way.id());
             problem_answer(&problem)
         }
     };
@@ -48,19 +55,17 @@
     Ok(answer.map(|body| body.hold(busy, under_way)))
 }
 
-type Failed = (Problem, Option<String>);
-
 async fn run(
     core: &Rc<Core>,
     mut job: Job,
     body: Incoming,
     under_way: &mut UnderWay,
-) -> Result<Response<AnswerBody>, Failed> {
+) -> Result<Response<AnswerBody>, Problem> {
     let ends_at = job.ends_at;
     match timeout_at(ends_at, read_body(core, body, under_way)).await {
         Ok(Ok(body)) => job.body = RefCell::new(body),
-        Ok(Err(problem)) => return Err((problem, Some(job.id))),
-        Err(_) => return Err((Problem::new(Reason::BodyTooSlow), Some(job.id))),
+        Ok(Err(problem)) => return Err(problem),
+        Err(_) => return Err(Problem::new(Reason::BodyTooSlow)),
     }
     core.count_request(&job.service);
     // A request that comes back was counted when it came first.
@@ -87,13 +92,21 @@
         .with_label_values(&[job.service.as_str(), outcome])
         .inc();
     match result {
-        Ok(Ok(Reply::Whole(head, body))) => Ok(server_answer(head, AnswerBody::whole(body))),
+        Ok(Ok(Reply::Whole(head, body))) => {
+            log::info!(
+                id = job.id.as_str(),
+                status = head.status.as_u16(),
+                total_ms = millis(job.arrived.elapsed());
+                "answer is complete"
+            );
+            Ok(server_answer(head, AnswerBody::whole(body)))
+        }
         Ok(Ok(Reply::Stream(head, exchange))) => {
             let stream = StreamBody::new(core, &job, attempts, exchange);
             Ok(server_answer(head, AnswerBody::stream(stream)))
         }
-        Ok(Err(problem)) => Err((problem, Some(job.id.clone()))),
-        Err(_) => Err((timeout_problem(core, &job), Some(job.id.clone()))),
+        Ok(Err(problem)) => Err(problem),
+        Err(_) => Err(timeout_problem(core, &job)),
     }
 }
 
@@ -144,18 +157,18 @@
 }
 
 fn note_refusal(core: &Core, problem: &Problem, id: Option<&str>) {
-    let code = problem.reason.code();
-    core.metrics.refusals.with_label_values(&[code]).inc();
+    let reason = problem.reason.code();
+    core.metrics.refusals.with_label_values(&[reason]).inc();
     let age_ms = core
         .force
         .borrow()
         .age(baobab_watch::suspension_clock())
-        .map(baobab_unit::millis);
+        .map(millis);
     log::info!(
         id = id.unwrap_or("-"),
-        reason = code,
+        reason,
         configuration_age_ms:? = age_ms,
-        retry_after_ms:? = problem.retry_after.map(baobab_unit::millis);
+        retry_after_ms:? = problem.retry_after.map(millis);
         "request is refused"
     );
 }
--- a/crates/relay/src/callers/under_way.rs
+++ b/crates/relay/src/callers/under_way.rs
@@ -9,20 +9,35 @@
 pub struct UnderWay {
     core: Rc<Core>,
     held_bytes: u64,
+    id: Option<String>,
+    has_answer: bool,
 }
 
 impl UnderWay {
-    /// Counts a request.
+    /// Counts a request; its id is for the logs.
     #[must_use]
-    pub fn begin(core: &Rc<Core>) -> Self {
+    pub fn begin(core: &Rc<Core>, id: Option<String>) -> Self {
         core.under_way.set(core.under_way.get() + 1);
         core.metrics.under_way.inc();
         Self {
             core: Rc::clone(core),
             held_bytes: 0,
+            id,
+            has_answer: false,
         }
     }
 
+    /// Returns the id of the request, where its head could be read.
+    #[must_use]
+    pub fn id(&self) -> Option<&str> {
+        self.id.as_deref()
+    }
+
+    /// Notes that the head of its answer is ready.
+    pub fn on_answer(&mut self) {
+        self.has_answer = true;
+    }
+
     /// Counts bytes of its body. Returns false where bodies take too much memory.
     pub fn hold(&mut self, bytes: usize) -> bool {
         let bytes = bytes as u64;
@@ -35,6 +50,9 @@
 
 impl Drop for UnderWay {
     fn drop(&mut self) {
+        if !self.has_answer {
+            log::info!(id = self.id().unwrap_or("-"); "caller has left");
+        }
         self.core.under_way.set(self.core.under_way.get() - 1);
         self.core.metrics.under_way.dec();
         self.core
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -51,7 +51,7 @@
     /// The whole answer.
     Whole(response::Parts, Bytes),
     /// The head and the way to the rest.
-    Stream(response::Parts, Exchange),
+    Stream(response::Parts, Box<Exchange>),
 }
 
 /// Sends a request until a server answers it, as far as its route and the budget allow.
@@ -195,7 +195,7 @@
         .and_then(|value| value.parse::<u64>().ok());
     let is_stream = job.route.repeat.is_stream() && head.status.is_success();
     if is_stream || length.is_some_and(|length| length > WHOLE_BYTES) {
-        return Ok(Reply::Stream(head, exchange));
+        return Ok(Reply::Stream(head, Box::new(exchange)));
     }
     let mut body = BytesMut::new();
     while let Some(data) = poll_fn(|context| exchange.poll_data(context)).await {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -50,7 +50,7 @@
 type Resuming = Pin<Box<dyn Future<Output = (Result<Reply, Problem>, Attempts)>>>;
 
 enum State {
-    Reading(Exchange),
+    Reading(Box<Exchange>),
     Resuming(Resuming),
     Ended,
 }
@@ -71,7 +71,12 @@
 impl StreamBody {
     /// Passes on the answer that an exchange reads.
     #[must_use]
-    pub fn new(core: &Rc<Core>, job: &Rc<Job>, attempts: Attempts, exchange: Exchange) -> Self {
+    pub fn new(
+        core: &Rc<Core>,
+        job: &Rc<Job>,
+        attempts: Attempts,
+        exchange: Box<Exchange>,
+    ) -> Self {
         let is_resumable = job.route.repeat == Repeat::ResumableStream;
         if !is_resumable {
             job.drop_body();
@@ -244,6 +249,18 @@
     }
 }
 
+impl Drop for StreamBody {
+    fn drop(&mut self) {
+        if !matches!(self.state, State::Ended) {
+            log::info!(
+                id = self.job.id.as_str(),
+                total_ms = millis(self.job.arrived.elapsed());
+                "caller has left"
+            );
+        }
+    }
+}
+
 /// When the data of a stream came.
 #[derive(Debug, Default)]
 struct Timing {
