Serve 86 routers: confirmations told by peers, few engines looked at, overload judged

Change: a confirmation is dated by the store's clock and told by datagram; routers ask one after the other. Feeds gather changes. Unused connections go where they run short. With 20 peers or more a router looks at the homes of shared parts and three other engines first. A router whose timers are late says that it is not ready and refuses streams at once.

--- a/bin/ctl/src/explain.rs
+++ b/bin/ctl/src/explain.rs
@@ -135,6 +135,7 @@
         "no_server" => "not run: its service had no server".to_owned(),
         "servers_refused" => "not run: the servers that were asked refused it".to_owned(),
         "servers_unreachable" => "not run: no server could be reached".to_owned(),
+        "router_overloaded" => "not run: the router's processor did not keep up".to_owned(),
         "stopping" => "not run: the router was about to stop".to_owned(),
         "server_failed" => {
             "it may have run: a server failed or broke off and nobody else may be asked".to_owned()
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        CacheView, Health, Load, Outcome, Part, Peers, Prompt, Registry, Server, ServerKey, Tuning,
-        score::home_score,
+        CacheView, Health, Load, Outcome, Part, PartId, Peers, Prompt, Registry, Server, ServerKey,
+        Tuning, score::home_score,
     },
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
@@ -20,6 +20,13 @@
 const LARGE_QUEUE_SHARE: f64 = 0.25;
 /// Ranks that are told apart.
 const RANKS: usize = 3;
+/// Other routers from which on each looks at a few engines first: with fewer, news of load comes
+/// within the time of one prompt.
+const MANY_PEERS: usize = 20;
+/// Engines that are looked at besides the homes of shared parts.
+const CHOICES: usize = 3;
+/// Shared prompt tokens from which on their homes are looked at.
+const SHARED_TOKENS: u64 = 1000;
 
 /// A request's claim to room.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -181,14 +188,13 @@
             Some(prompt) => self.engines(ask, prompt, &servers),
             None => self.plain(ask, &servers),
         };
+        let preferred = self.preferred(ask, &candidates);
         // Of several holders, the one that used the parts last has hardly evicted them.
         let most_held = candidates
             .iter()
             .max_by_key(|candidate| (candidate.held_tokens, candidate.used_at));
-        let best = candidates
-            .iter()
-            .filter(|candidate| candidate.obstacle.is_none())
-            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms));
+        let best = cheapest(&candidates, |key| preferred.contains(&key))
+            .or_else(|| cheapest(&candidates, |_| true));
         let Some(best) = best else {
             return Err(Declined::Busy(self.crowding(ask, &candidates)));
         };
@@ -363,6 +369,33 @@
         }
     }
 
+    /// Returns the engines to look at first where many routers choose by news that is some hundred
+    /// milliseconds old: if all looked at all engines, they would choose the same one.
+    fn preferred(&self, ask: &Ask, candidates: &[Candidate]) -> Vec<ServerKey> {
+        let Some(prompt) = ask.prompt.filter(|_| self.peers.len() >= MANY_PEERS) else {
+            return candidates
+                .iter()
+                .map(|candidate| candidate.server.key)
+                .collect();
+        };
+        let servers: Vec<&Server> = candidates
+            .iter()
+            .map(|candidate| candidate.server)
+            .collect();
+        let mut preferred = Vec::new();
+        if let Some(shared) = prompt
+            .last_shared()
+            .filter(|part| part.tokens >= SHARED_TOKENS)
+        {
+            preferred.extend(homes(shared.id, &servers, RANKS));
+        }
+        if let Some(own) = prompt.parts.last() {
+            // The own part is another one for each request: a random choice.
+            preferred.extend(homes(own.id, &servers, CHOICES));
+        }
+        preferred
+    }
+
     /// Returns the servers to choose from: those set aside only where no other is left.
     fn servers<'a>(&'a self, ask: &'a Ask, now: Duration) -> Vec<&'a Server> {
         let untried: Vec<&Server> = self
@@ -417,7 +450,9 @@
         let most_held = held.iter().copied().max().unwrap_or(0);
         let is_unknown = shared_tokens > 0;
         let homes = if is_unknown {
-            homes(prompt, servers)
+            prompt
+                .last_shared()
+                .map_or_else(Vec::new, |part| homes(part.id, servers, RANKS))
         } else {
             Vec::new()
         };
@@ -569,16 +604,24 @@
     }
 }
 
-fn homes(prompt: &Prompt, servers: &[&Server]) -> Vec<ServerKey> {
-    let Some(part) = prompt.last_shared() else {
-        return Vec::new();
-    };
+fn cheapest<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    is_wanted: impl Fn(ServerKey) -> bool,
+) -> Option<&'b Candidate<'a>> {
+    candidates
+        .iter()
+        .filter(|candidate| candidate.obstacle.is_none() && is_wanted(candidate.server.key))
+        .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
+}
+
+/// Returns the servers that suit a part best, the best one first.
+fn homes(part: PartId, servers: &[&Server], most: usize) -> Vec<ServerKey> {
     let mut scored: Vec<(u64, ServerKey)> = servers
         .iter()
-        .map(|server| (home_score(part.id, server.key), server.key))
+        .map(|server| (home_score(part, server.key), server.key))
         .collect();
     scored.sort_unstable_by(|left, right| right.cmp(left));
-    scored.into_iter().take(RANKS).map(|(_, key)| key).collect()
+    scored.into_iter().take(most).map(|(_, key)| key).collect()
 }
 
 /// Returns a share of a count of tokens.
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -78,6 +78,7 @@
         was_sent: Cell::new(false),
     };
     check_grace(core, &job)?;
+    check_overload(core, &job)?;
     Ok(job)
 }
 
@@ -170,3 +171,16 @@
     );
     Err(Problem::later(Reason::Stopping, pause))
 }
+
+/// A router that reads late refuses streams, which other routers can still serve on time.
+fn check_overload(core: &Core, job: &Job) -> Result<(), Problem> {
+    if !job.route.repeat.is_stream() || !core.overload.borrow().refuses_streams() {
+        return Ok(());
+    }
+    let pause = retry_after(
+        RetryLoad::Passing(ELSEWHERE_PAUSE),
+        job.time_left(),
+        core.fraction(),
+    );
+    Err(Problem::later(Reason::Overloaded, pause))
+}
--- a/crates/relay/src/callers/connection.rs
+++ b/crates/relay/src/callers/connection.rs
@@ -21,6 +21,9 @@
 /// Longest time that an answer's bytes may stay unacknowledged.
 const SILENCE: Duration = Duration::from_secs(5);
 
+/// Time for which an unused connection is kept where connections run short.
+const CROWDED_IDLE: Duration = Duration::from_millis(500);
+
 /// What a look at a connection's bounds says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Look {
@@ -74,9 +77,14 @@
     {
         return Look::Break;
     }
-    let is_unused = gauge
-        .idle_for()
-        .is_some_and(|idle| idle > limits.idle_timeout || core.phase.get() == Phase::Draining);
+    let longest = if core.phase.get() == Phase::Draining {
+        Duration::ZERO
+    } else if core.is_crowded() {
+        CROWDED_IDLE
+    } else {
+        limits.idle_timeout
+    };
+    let is_unused = gauge.idle_for().is_some_and(|idle| idle > longest);
     if is_unused { Look::End } else { Look::Fine }
 }
 
--- a/crates/relay/src/callers/listener.rs
+++ b/crates/relay/src/callers/listener.rs
@@ -40,8 +40,10 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let core = Rc::clone(&core);
+                core.connections.set(core.connections.get() + 1);
                 tokio::task::spawn_local(async move {
-                    connection::run(core, stream).await;
+                    connection::run(Rc::clone(&core), stream).await;
+                    core.connections.set(core.connections.get() - 1);
                     drop(place);
                 });
             }
--- a/crates/relay/src/callers/service.rs
+++ b/crates/relay/src/callers/service.rs
@@ -47,7 +47,10 @@
             problem_answer(&problem)
         }
     };
-    if core.phase.get() != Phase::Serving {
+    if core.phase.get() != Phase::Serving
+        || core.is_crowded()
+        || core.overload.borrow().is_crowded()
+    {
         answer
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -5,8 +5,10 @@
         dialect::Dialect,
         gossip::Book,
         metrics::Metrics,
+        overload::Overload,
         pool::Pool,
         settings::{Bounds, Settings},
+        shared::Shared,
     },
     baobab_place::{Peers, Placer, Registry, RetryBudget, Shares},
     baobab_routing::{Configuration, Force, Standing},
@@ -27,6 +29,9 @@
 /// a window.
 const ALLOWANCE_SHARE: f64 = 0.6;
 
+/// Part of the connections from which on unused ones are not kept.
+const CROWDED_DIVISOR: usize = 3;
+
 /// Where a router is in its life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -42,6 +47,8 @@
 pub struct Core {
     /// The settings.
     pub settings: Settings,
+    /// What the control thread knows too.
+    pub shared: Shared,
     /// The deployment's headers.
     pub dialect: Box<dyn Dialect>,
     /// The configuration in force.
@@ -64,6 +71,10 @@
     pub phase: Cell<Phase>,
     /// When the process will be killed, once a planned stop has begun.
     pub killed_at: Cell<Option<Instant>>,
+    /// Whether the processor keeps up.
+    pub overload: RefCell<Overload>,
+    /// Connections of callers.
+    pub connections: Cell<usize>,
     /// Requests that are under way.
     pub under_way: Cell<usize>,
     /// Bytes of request bodies that are held.
@@ -76,7 +87,7 @@
 impl Core {
     /// Makes the state of a router that knows nothing yet.
     #[must_use]
-    pub fn new(settings: Settings, dialect: Box<dyn Dialect>) -> Self {
+    pub fn new(settings: Settings, shared: Shared, dialect: Box<dyn Dialect>) -> Self {
         let bounds = settings.bounds.clone();
         let placer = Placer::new(
             Registry::new(bounds.registry_settle),
@@ -94,12 +105,15 @@
             bounds: RefCell::new(bounds),
             phase: Cell::new(Phase::Serving),
             killed_at: Cell::new(None),
+            overload: RefCell::new(Overload::default()),
+            connections: Cell::new(0),
             under_way: Cell::new(0),
             held_bytes: Cell::new(0),
             budgets: RefCell::new(HashMap::new()),
             random: RefCell::new(SmallRng::from_os_rng()),
             started: Instant::now(),
             settings,
+            shared,
             dialect,
         }
     }
@@ -121,6 +135,7 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving
+            && !self.overload.borrow().is_crowded()
             && self.force.borrow().current().is_some()
             && self.placer.borrow().registry.has_list()
     }
@@ -133,6 +148,12 @@
             .map(|at| at.saturating_duration_since(Instant::now()))
     }
 
+    /// Tells whether callers' connections run short, so that unused ones have to go.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        self.connections.get() > self.settings.connections / CROWDED_DIVISOR
+    }
+
     /// Counts a caller's request to a service.
     pub fn count_request(&self, service: &str) {
         let window = self.bounds.borrow().retry_window;
--- a/crates/relay/src/forward/problem.rs
+++ b/crates/relay/src/forward/problem.rs
@@ -21,6 +21,8 @@
     Unconfirmed,
     /// The router is about to stop.
     Stopping,
+    /// The router's processor does not keep up.
+    Overloaded,
     /// The router holds as much as it can.
     NoMemory,
     /// The service has no server.
@@ -54,6 +56,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Unconfirmed => "configuration_unconfirmed",
             Self::Stopping => "stopping",
+            Self::Overloaded => "router_overloaded",
             Self::NoMemory => "no_memory",
             Self::NoServer => "no_server",
             Self::Busy => "busy",
@@ -81,6 +84,7 @@
             Self::NoConfiguration
             | Self::Unconfirmed
             | Self::Stopping
+            | Self::Overloaded
             | Self::NoMemory
             | Self::NoServer
             | Self::Busy
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -2,8 +2,10 @@
 
 use {
     baobab_place::{Claim, Load, Part, PeerReport, ServerKey},
-    baobab_unit::WorkspaceId,
+    baobab_routing::RouteVersion,
+    baobab_unit::{WorkspaceId, millis},
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
 /// A prompt part that an engine was sent for the first time.
@@ -22,6 +24,17 @@
     pub report: PeerReport,
     /// Prompt parts that engines were sent.
     pub parts: Vec<ToldPart>,
+    /// Newest word of the store about the configuration.
+    pub confirmed: Option<Confirmed>,
+}
+
+/// The store's word that a version was the newest one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Confirmed {
+    /// The version.
+    pub version: RouteVersion,
+    /// When the store said so, on its own clock.
+    pub store_time: Duration,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -53,6 +66,13 @@
     loads: Vec<WireLoad>,
     claims: Vec<WireClaim>,
     parts: Vec<WirePart>,
+    confirmed: Option<WireConfirmed>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireConfirmed {
+    version: u64,
+    store_time_ms: u64,
 }
 
 impl From<&News> for WireNews {
@@ -62,6 +82,7 @@
             loads: news.report.loads.iter().map(WireLoad::from).collect(),
             claims: news.report.claims.iter().map(WireClaim::from).collect(),
             parts: news.parts.iter().map(WirePart::from).collect(),
+            confirmed: news.confirmed.map(WireConfirmed::from),
         }
     }
 }
@@ -75,6 +96,7 @@
                 claims: wire.claims.into_iter().map(From::from).collect(),
             },
             parts: wire.parts.into_iter().map(From::from).collect(),
+            confirmed: wire.confirmed.map(Confirmed::from),
         }
     }
 }
@@ -123,6 +145,24 @@
     }
 }
 
+impl From<Confirmed> for WireConfirmed {
+    fn from(confirmed: Confirmed) -> Self {
+        Self {
+            version: confirmed.version,
+            store_time_ms: millis(confirmed.store_time),
+        }
+    }
+}
+
+impl From<WireConfirmed> for Confirmed {
+    fn from(wire: WireConfirmed) -> Self {
+        Self {
+            version: wire.version,
+            store_time: Duration::from_millis(wire.store_time_ms),
+        }
+    }
+}
+
 impl From<&ToldPart> for WirePart {
     fn from(told: &ToldPart) -> Self {
         Self {
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -6,6 +6,6 @@
 
 pub use {
     book::Book,
-    message::{News, ToldPart},
+    message::{Confirmed, News, ToldPart},
     seal::{PeerKey, SealError, Sender, seal},
 };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,9 +10,11 @@
 mod gossip;
 mod metrics;
 mod operators;
+mod overload;
 mod pool;
 mod relay;
 mod settings;
+mod shared;
 mod ticker;
 
 pub use {
@@ -20,6 +22,8 @@
     dialect::{Dialect, Inbound, Malformed, Outbound, Verdict},
     error::RelayError,
     gossip::PeerKey,
+    overload::Overload,
     relay::{Handle, spawn},
     settings::{Bounds, Settings},
+    shared::Shared,
 };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,6 +10,7 @@
         gossip::PeerKey,
         operators,
         settings::Settings,
+        shared::Shared,
         ticker,
     },
     baobab_unit::Incarnation,
@@ -77,6 +78,7 @@
 /// Fails where the system refuses the thread or an address cannot be used.
 pub fn spawn(
     settings: Settings,
+    shared: Shared,
     dialect: impl FnOnce() -> Box<dyn Dialect> + Send + 'static,
     identity: (Incarnation, PeerKey),
     commands: (Sender<Command>, Receiver<Command>),
@@ -90,7 +92,14 @@
     let thread = thread::Builder::new()
         .name("traffic".to_owned())
         .spawn(move || {
-            let result = run(settings, dialect(), identity, &receiver, &started_sender);
+            let result = run(
+                settings,
+                shared,
+                dialect(),
+                identity,
+                &receiver,
+                &started_sender,
+            );
             if let Err(error) = result {
                 let _ = started_sender.send(Err(error));
             }
@@ -108,6 +117,7 @@
 
 fn run(
     settings: Settings,
+    shared: Shared,
     dialect: Box<dyn Dialect>,
     identity: Identity,
     commands: &Receiver<Command>,
@@ -126,7 +136,7 @@
             .await
             .map_err(|error| RelayError::Bind(settings.peers, error))?;
         let socket = Rc::new(socket);
-        let core = Rc::new(Core::new(settings, dialect));
+        let core = Rc::new(Core::new(settings, shared, dialect));
         tokio::task::spawn_local(callers::serve(Rc::clone(&core), callers));
         tokio::task::spawn_local(operators::serve(Rc::clone(&core), readiness));
         tokio::task::spawn_local(operators::serve(Rc::clone(&core), metrics));
--- /dev/null
+++ b/crates/relay/src/shared.rs
@@ -0,0 +1,15 @@
+//! What the traffic thread and the control thread know together.
+
+use {
+    baobab_watch::{Freshness, StoreClock},
+    std::sync::Arc,
+};
+
+/// Dates of confirmations, which come from the store and from other routers.
+#[derive(Debug, Clone, Default)]
+pub struct Shared {
+    /// The store's clock.
+    pub store_clock: Arc<StoreClock>,
+    /// Age of the newest confirmation.
+    pub freshness: Arc<Freshness>,
+}
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -3,11 +3,13 @@
 use {
     crate::{
         core::Core,
-        gossip::{News, Sender, ToldPart, seal},
+        gossip::{Confirmed, News, Sender, ToldPart, seal},
         relay::Identity,
     },
     baobab_place::PeerReport,
-    baobab_unit::id_of,
+    baobab_routing::Confirmation,
+    baobab_unit::{id_of, millis},
+    baobab_watch::suspension_clock,
     std::{rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
 };
@@ -54,13 +56,17 @@
 /// Ticks until the task is dropped.
 pub async fn run(core: Rc<Core>, socket: Rc<UdpSocket>, identity: Identity) {
     let mut number = 0;
+    let mut told = None;
     let mut whole = Due::every(WHOLE_INTERVAL);
     let mut shares = Due::every(SHARES_INTERVAL);
     let mut sweep = Due::every(SWEEP_INTERVAL);
     loop {
         let peers = u32::try_from(core.book.borrow().fleet_size() - 1).unwrap_or(u32::MAX);
-        sleep(LEAST_INTERVAL.max(INTERVAL_PER_PEER * peers)).await;
+        let interval = LEAST_INTERVAL.max(INTERVAL_PER_PEER * peers);
+        let due_at = core.now() + interval;
+        sleep(interval).await;
         let now = core.now();
+        note_delay(&core, now.saturating_sub(due_at), now);
         let tells_claims = shares.is_due(now);
         if tells_claims {
             refill(&core, now);
@@ -69,7 +75,12 @@
             core.placer.borrow_mut().expire(now);
             core.pool.expire();
         }
-        let news = news(&core, whole.is_due(now), tells_claims);
+        let mut news = news(&core, whole.is_due(now), tells_claims);
+        let confirmed = confirmed(&core);
+        if confirmed != told {
+            told = confirmed;
+            news.confirmed = confirmed;
+        }
         if news == News::default() {
             continue;
         }
@@ -87,6 +98,18 @@
     }
 }
 
+fn note_delay(core: &Core, delay: Duration, now: Duration) {
+    let mut overload = core.overload.borrow_mut();
+    if overload.on_delay(delay, now) {
+        log::warn!(
+            is_crowded = overload.is_crowded(),
+            mean_delay_ms = millis(overload.mean_delay()),
+            under_way = core.under_way.get();
+            "the processor's load has changed the router's readiness"
+        );
+    }
+}
+
 fn refill(core: &Core, now: Duration) {
     let capacity = core
         .force
@@ -118,6 +141,37 @@
             .into_iter()
             .map(|(server, part)| ToldPart { server, part })
             .collect(),
+        confirmed: None,
+    }
+}
+
+fn confirmed(core: &Core) -> Option<Confirmed> {
+    let confirmation = core.force.borrow().newest_confirmation()?;
+    Some(Confirmed {
+        version: confirmation.version,
+        store_time: confirmation.store_time,
+    })
+}
+
+/// Takes another router's word for what the store said. It is dated by the store's clock, so that
+/// a late datagram extends no lease.
+fn on_confirmed(core: &Core, confirmed: Confirmed) {
+    core.shared.freshness.on_heard(confirmed.version);
+    let Some(as_of) = core.shared.store_clock.earliest(confirmed.store_time) else {
+        return;
+    };
+    let as_of = as_of.min(suspension_clock());
+    let mut force = core.force.borrow_mut();
+    force.confirm(Confirmation {
+        version: confirmed.version,
+        as_of,
+        store_time: confirmed.store_time,
+    });
+    if force
+        .newest_confirmation()
+        .is_some_and(|newest| newest.version == confirmed.version)
+    {
+        core.shared.freshness.on_confirmed(confirmed.version, as_of);
     }
 }
 
@@ -153,6 +207,9 @@
                 for told in news.parts {
                     placer.on_told_part(told.server, told.part, now);
                 }
+                if let Some(confirmed) = news.confirmed {
+                    on_confirmed(&core, confirmed);
+                }
                 core.metrics
                     .datagrams
                     .with_label_values(&["received"])
--- a/crates/routing/src/confirmation.rs
+++ b/crates/routing/src/confirmation.rs
@@ -9,4 +9,6 @@
     pub version: RouteVersion,
     /// Earliest moment at which the store can have looked, on a clock that counts suspension.
     pub as_of: Duration,
+    /// The same on the store's clock, by which other routers date it.
+    pub store_time: Duration,
 }
--- a/crates/routing/src/force.rs
+++ b/crates/routing/src/force.rs
@@ -21,6 +21,7 @@
 pub struct Force {
     current: Option<Arc<Configuration>>,
     confirmed_at: Option<Duration>,
+    newest: Option<Confirmation>,
     lease: Duration,
 }
 
@@ -31,6 +32,7 @@
         Self {
             current: None,
             confirmed_at: None,
+            newest: None,
             lease,
         }
     }
@@ -60,9 +62,22 @@
         };
         if confirmation.version == current.version {
             self.confirmed_at = self.confirmed_at.max(Some(confirmation.as_of));
+            let is_newer = self.newest.is_none_or(|newest| {
+                confirmation.store_time > newest.store_time || confirmation.version > newest.version
+            });
+            if is_newer {
+                self.newest = Some(confirmation);
+            }
         }
     }
 
+    /// Returns the newest confirmation of the version in force, to be told to other routers.
+    #[must_use]
+    pub fn newest_confirmation(&self) -> Option<Confirmation> {
+        let version = self.current.as_ref()?.version;
+        self.newest.filter(|newest| newest.version == version)
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn current(&self) -> Option<&Arc<Configuration>> {
--- a/crates/routing/tests/force.rs
+++ b/crates/routing/tests/force.rs
@@ -48,6 +48,7 @@
     Confirmation {
         version,
         as_of: Duration::from_secs(as_of_s),
+        store_time: Duration::from_secs(as_of_s),
     }
 }
 
--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -1,9 +1,11 @@
 //! Keeps a listener up to date with one table.
 
 use {
-    crate::{Backoff, Changes, Listener, Revision, Source, SourceError, suspension_clock},
+    crate::{
+        Backoff, Changes, Listener, Revision, Source, SourceError, StoreClock, suspension_clock,
+    },
     rand::Rng,
-    std::{rc::Rc, time::Duration},
+    std::{rc::Rc, sync::Arc, time::Duration},
     tokio::{sync::Notify, time::sleep},
 };
 
@@ -12,6 +14,8 @@
 pub struct Pace {
     /// Longest time that the store may keep a call waiting for changes.
     pub wait: Duration,
+    /// Pause after a change, so that many changes that come together take few calls.
+    pub gather: Duration,
     /// Time that an answer may take beyond that.
     pub answer: Duration,
     /// First pause after a failed call.
@@ -20,6 +24,16 @@
     pub longest_pause: Duration,
 }
 
+/// What a follower shares with others.
+#[derive(Debug, Clone, Default)]
+pub struct Signals {
+    /// Ends a call that is under way and asks the store at once: its answer may be lost, or is
+    /// needed now.
+    pub interrupt: Rc<Notify>,
+    /// The store's clock.
+    pub store_clock: Arc<StoreClock>,
+}
+
 /// While the store is out of reach, every other call waits this many times longer for its answer:
 /// short ones notice its return early, long ones get through where it is slow.
 const SLOW_STORE_FACTOR: u32 = 3;
@@ -35,21 +49,19 @@
     backoff: Backoff,
     failures: u32,
     is_lost: bool,
-    interrupt: Rc<Notify>,
+    asks_at_once: bool,
+    signals: Signals,
 }
 
 impl<S: Source, L: Listener, R: Rng> Follower<S, L, R> {
     /// Prepares to follow a table; nothing is read yet.
-    ///
-    /// `interrupt` ends a call that is under way: others have learnt that the store was away, and
-    /// the call's answer may be lost.
     pub fn new(
         table: impl Into<String>,
         source: S,
         listener: L,
         random: R,
         pace: Pace,
-        interrupt: Rc<Notify>,
+        signals: Signals,
     ) -> Self {
         Self {
             table: table.into(),
@@ -61,7 +73,8 @@
             backoff: Backoff::new(pace.first_pause, pace.longest_pause),
             failures: 0,
             is_lost: false,
-            interrupt,
+            asks_at_once: false,
+            signals,
         }
     }
 
@@ -74,11 +87,12 @@
 
     /// Makes one call and tells the listener what came of it.
     pub async fn step(&mut self) {
-        let interrupt = Rc::clone(&self.interrupt);
+        let interrupt = Rc::clone(&self.signals.interrupt);
         let result = tokio::select! {
             result = self.call() => result,
             () = interrupt.notified() => {
                 self.source.reset();
+                self.asks_at_once = true;
                 return;
             }
         };
@@ -98,7 +112,12 @@
     /// Returns how long the store may keep a call waiting, and how long the answer may take.
     fn bounds(&self) -> (Duration, Duration) {
         if !self.is_lost {
-            return (self.pace.wait, self.pace.answer);
+            let wait = if self.asks_at_once {
+                Duration::ZERO
+            } else {
+                self.pace.wait
+            };
+            return (wait, self.pace.answer);
         }
         let is_patient = self.failures.is_multiple_of(2);
         let factor = if is_patient { SLOW_STORE_FACTOR } else { 1 };
@@ -110,14 +129,22 @@
         let (_, timeout) = self.bounds();
         let listing = self.source.list(&self.table, timeout).await?;
         self.revision = Some(listing.revision);
-        self.listener.on_listing(listing.rows, asked_at);
+        self.signals
+            .store_clock
+            .observe(asked_at, listing.store_time);
+        self.listener.on_listing(listing.rows);
+        self.listener.on_current(asked_at, listing.store_time);
         Ok(())
     }
 
     async fn poll(&mut self, since: Revision) -> Result<(), SourceError> {
         let asked_at = suspension_clock();
         let (wait, answer) = self.bounds();
-        let Changes { revision, changes } = self
+        let Changes {
+            revision,
+            store_time,
+            changes,
+        } = self
             .source
             .changes(&self.table, since, wait, wait + answer)
             .await?;
@@ -127,23 +154,24 @@
             )));
         }
         self.revision = Some(revision);
-        // An empty answer leaves the store only after the whole wait.
-        let held = if changes.is_empty() {
-            wait
-        } else {
-            Duration::ZERO
-        };
+        self.signals.store_clock.observe(asked_at, store_time);
+        let has_changed = !changes.is_empty();
         for change in changes {
             self.listener.on_change(change);
         }
-        let as_of = (asked_at + held).min(suspension_clock());
-        self.listener.on_current(as_of);
+        let dated = self.signals.store_clock.earliest(store_time);
+        let as_of = dated.map_or(asked_at, |dated| dated.max(asked_at));
+        self.listener.on_current(as_of, store_time);
+        if has_changed {
+            sleep(self.pace.gather).await;
+        }
         Ok(())
     }
 
     fn on_success(&mut self) {
         self.backoff.reset();
         self.failures = 0;
+        self.asks_at_once = false;
         if std::mem::take(&mut self.is_lost) {
             self.listener.on_regained();
         }
--- /dev/null
+++ b/crates/watch/src/freshness.rs
@@ -0,0 +1,55 @@
+//! Who asks the store for a confirmation, so that few do.
+
+use std::{
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// Age of the last confirmation at which the first router asks for another.
+const FIRST_AGE: Duration = Duration::from_millis(1000);
+/// Time that each further router waits for those before it. A confirmation is told within it.
+const RANK_DELAY: Duration = Duration::from_millis(250);
+/// Ranks that are told apart; the routers behind them ask together.
+const MOST_RANKS: u32 = 6;
+
+/// What one router knows of the newest confirmation, from the store or from another router.
+#[derive(Debug, Default)]
+pub struct Freshness {
+    confirmed_ms: AtomicU64,
+    newest_version: AtomicU64,
+    is_lost: AtomicBool,
+}
+
+impl Freshness {
+    /// Notes a confirmation, dated on the suspension clock.
+    pub fn on_confirmed(&self, version: u64, as_of: Duration) {
+        let millis = u64::try_from(as_of.as_millis()).unwrap_or(u64::MAX);
+        self.confirmed_ms.fetch_max(millis, Ordering::Relaxed);
+        self.on_heard(version);
+    }
+
+    /// Notes that another router knows a version.
+    pub fn on_heard(&self, version: u64) {
+        self.newest_version.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Notes whether the store is out of reach; then it is asked all the time.
+    pub fn set_lost(&self, is_lost: bool) {
+        self.is_lost.store(is_lost, Ordering::Relaxed);
+    }
+
+    /// Tells whether the router with this rank has to ask the store now. `known_version` is the
+    /// version that it has.
+    #[must_use]
+    pub fn is_due(&self, rank: u32, known_version: u64, now: Duration) -> bool {
+        if self.is_lost.load(Ordering::Relaxed) {
+            return false;
+        }
+        if self.newest_version.load(Ordering::Relaxed) > known_version {
+            return true;
+        }
+        let confirmed = Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
+        let age = now.saturating_sub(confirmed);
+        age >= FIRST_AGE + RANK_DELAY * rank.min(MOST_RANKS)
+    }
+}
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -5,12 +5,16 @@
 mod clock;
 mod error;
 mod follower;
+mod freshness;
 mod source;
+mod store_clock;
 
 pub use {
     backoff::Backoff,
     clock::suspension_clock,
     error::SourceError,
-    follower::{Follower, Pace},
+    follower::{Follower, Pace, Signals},
+    freshness::Freshness,
     source::{Answer, Change, Changes, Listener, Listing, Revision, Row, Source},
+    store_clock::StoreClock,
 };
--- a/crates/watch/src/source.rs
+++ b/crates/watch/src/source.rs
@@ -22,6 +22,8 @@
 pub struct Listing {
     /// Newest revision of the store at that moment.
     pub revision: Revision,
+    /// The moment on the store's clock.
+    pub store_time: Duration,
     /// All rows.
     pub rows: Vec<Row>,
 }
@@ -40,6 +42,8 @@
 pub struct Changes {
     /// Newest revision of the store.
     pub revision: Revision,
+    /// When the store answered, on its own clock.
+    pub store_time: Duration,
     /// The changes; empty where there were none for the whole wait.
     pub changes: Vec<Change>,
 }
@@ -67,15 +71,15 @@
 
 /// Takes what a follower has learnt.
 pub trait Listener {
-    /// The whole table. `as_of` is the earliest moment, on the suspension clock, at which it can
-    /// have been read.
-    fn on_listing(&mut self, rows: Vec<Row>, as_of: Duration);
+    /// The whole table.
+    fn on_listing(&mut self, rows: Vec<Row>);
 
     /// One change.
     fn on_change(&mut self, change: Change);
 
-    /// All changes up to `as_of` on the suspension clock have been told.
-    fn on_current(&mut self, as_of: Duration);
+    /// All changes up to `store_time`, a moment on the store's clock, have been told. `as_of` is the
+    /// earliest moment on the suspension clock that this can have been.
+    fn on_current(&mut self, as_of: Duration, store_time: Duration);
 
     /// The table is out of reach.
     fn on_lost(&mut self, error: &SourceError);
