Run fewer requests together on an engine

Change: 0.5 of the slots within the share. An overloaded router refuses first the streams of workspaces that ask for more than their share.

--- a/bin/ctl/src/explain.rs
+++ b/bin/ctl/src/explain.rs
@@ -61,11 +61,12 @@
 }
 
 fn fields(fields: &Map<String, Value>) -> String {
-    let mut text = String::new();
-    for (key, value) in fields.iter().filter(|(key, _)| *key != "id") {
-        text += &format!(" {key}={}", plain(value));
-    }
-    text
+    let texts: Vec<String> = fields
+        .iter()
+        .filter(|(key, _)| *key != "id")
+        .map(|(key, value)| format!(" {key}={}", plain(value)))
+        .collect();
+    texts.concat()
 }
 
 fn plain(value: &Value) -> String {
--- a/crates/place/src/tuning.rs
+++ b/crates/place/src/tuning.rs
@@ -45,7 +45,7 @@
             limited_part: 0.75,
             spare_share: 0.3,
             queue_share: 0.6,
-            slot_share: 0.65,
+            slot_share: 0.5,
             spare_slot_share: 0.31,
             memory_share: 0.9,
             cache_share: 0.6,
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -6,6 +6,7 @@
         dialect::Inbound,
         forward::{Caller, Job, Problem, Reason, RetryLoad, remove_hop_headers, retry_after},
     },
+    baobab_place::Standing as Claim,
     baobab_routing::{Configuration, Route, Standing, find_route},
     baobab_unit::id_of,
     http::{header::HOST, request},
@@ -174,7 +175,11 @@
 
 /// A router that reads late refuses streams, which other routers can still serve on time.
 fn check_overload(core: &Core, job: &Job) -> Result<(), Problem> {
-    if !job.route.repeat.is_stream() || !core.overload.borrow().refuses_streams() {
+    let is_modest = job
+        .caller
+        .as_ref()
+        .is_none_or(|caller| core.shares.borrow().standing(caller.workspace) == Claim::Modest);
+    if !job.route.repeat.is_stream() || !core.overload.borrow().refuses_streams(is_modest) {
         return Ok(());
     }
     let pause = retry_after(
--- a/crates/relay/src/overload.rs
+++ b/crates/relay/src/overload.rs
@@ -11,8 +11,10 @@
 /// Mean delay of timers above which new connections should go elsewhere: a good part of the
 /// shortest usual objective.
 const CROWDED: Duration = Duration::from_millis(60);
-/// Mean delay above which streams are refused.
+/// Mean delay above which streams of workspaces that ask for more than their share are refused.
 const OVERLOADED: Duration = Duration::from_millis(120);
+/// Mean delay above which all streams are refused: with less than half of a usual objective left.
+const FLOODED: Duration = Duration::from_millis(300);
 /// Mean delay below which the router has recovered.
 const RECOVERED: Duration = Duration::from_millis(15);
 /// Time that new connections go elsewhere at least, so that they do not come and go with each question.
@@ -57,9 +59,10 @@
         self.crowded_since.is_some()
     }
 
-    /// Tells whether streams are refused.
+    /// Tells whether streams are refused: those of workspaces that ask for more than their share
+    /// before the others.
     #[must_use]
-    pub fn refuses_streams(&self) -> bool {
-        self.mean_delay > OVERLOADED
+    pub fn refuses_streams(&self, is_modest: bool) -> bool {
+        self.mean_delay > if is_modest { FLOODED } else { OVERLOADED }
     }
 }
--- a/crates/relay/tests/overload.rs
+++ b/crates/relay/tests/overload.rs
@@ -24,7 +24,8 @@
         }
     }
     assert!(crowded_at.is_some_and(|step| step <= 3), "{crowded_at:?}");
-    assert!(overload.refuses_streams());
+    assert!(overload.refuses_streams(false));
+    assert!(!overload.refuses_streams(true));
 }
 
 #[test]
@@ -38,5 +39,5 @@
         .find(|now| overload.on_delay(ms(0), ms(*now)))
         .unwrap();
     assert!((3_000..3_200).contains(&returned), "{returned}");
-    assert!(!overload.refuses_streams());
+    assert!(!overload.refuses_streams(false));
 }
--- a/crates/watch/src/freshness.rs
+++ b/crates/watch/src/freshness.rs
@@ -6,7 +6,7 @@
 };
 
 /// Age of the last confirmation at which the first router asks for another.
-const FIRST_AGE: Duration = Duration::from_millis(1000);
+const FIRST_AGE: Duration = Duration::from_secs(1);
 /// Time that each further router waits for those before it. A confirmation is told within it.
 const RANK_DELAY: Duration = Duration::from_millis(250);
 /// Ranks that are told apart; the routers behind them ask together.
