--- /dev/null
+++ b/crates/place/src/choice.rs
@@ -0,0 +1,302 @@
+//! Chooses the backend server for a request, or declines it.
+
+use {
+    crate::{
+        Ask, Crowding, Declined, Load, Placement, Placer, Prompt, Server, ServerKey, Standing,
+        candidate::{Candidate, Obstacle, cheapest, homes},
+    },
+    std::time::Duration,
+};
+
+/// Cost of fetching a token from another engine, relative to reading it.
+const FETCH_COST: f64 = 1.0;
+/// Cost of a home's rank where nobody is known to hold the shared parts, relative to reading them.
+const RANK_COST: f64 = 0.5;
+/// Share of the bound that may wait before a prompt that is large for it.
+const LARGE_QUEUE_SHARE: f64 = 0.25;
+/// Ranks that are told apart.
+const RANKS: usize = 3;
+/// Other routers from which on each looks at a few engines first: with fewer, news of load comes
+/// within the time of one prompt.
+const MANY_PEERS: usize = 20;
+/// Engines that are looked at besides the homes of shared parts.
+const CHOICES: usize = 3;
+/// Shared prompt tokens from which on their homes are looked at.
+const SHARED_TOKENS: u64 = 1000;
+
+impl Placer {
+    /// Chooses a server.
+    ///
+    /// # Errors
+    ///
+    /// Declines where no server may be used, or none would answer on time.
+    pub fn place(&self, ask: &Ask, now: Duration) -> Result<Placement, Declined> {
+        let servers = self.servers(ask, now);
+        if servers.is_empty() {
+            return Err(Declined::NoServer);
+        }
+        let candidates = match ask.prompt {
+            Some(prompt) => self.engines(ask, prompt, &servers),
+            None => self.plain(ask, &servers),
+        };
+        let preferred = self.preferred(ask, &candidates);
+        // Of several holders, the one that used the parts last has hardly evicted them.
+        let most_held = candidates
+            .iter()
+            .max_by_key(|candidate| (candidate.held_tokens, candidate.used_at));
+        let best = cheapest(&candidates, |key| preferred.contains(&key))
+            .or_else(|| cheapest(&candidates, |_| true));
+        let Some(best) = best else {
+            return Err(Declined::Busy(self.crowding(ask, &candidates)));
+        };
+        let fetch_from = most_held
+            .filter(|holder| ask.can_fetch && holder.held_tokens > best.held_tokens)
+            .map(|holder| holder.server.address);
+        Ok(Placement {
+            server: best.server.clone(),
+            foretold: Duration::from_secs_f64(best.wait_ms / 1000.0),
+            uncached_tokens: best.uncached_tokens,
+            held_tokens: best.held_tokens,
+            most_held_tokens: most_held.map_or(0, |holder| holder.held_tokens),
+            fetch_from,
+        })
+    }
+
+    /// Returns the engines to look at first where many routers choose by news that is some hundred
+    /// milliseconds old: if all looked at all engines, they would choose the same one.
+    fn preferred(&self, ask: &Ask, candidates: &[Candidate]) -> Vec<ServerKey> {
+        let Some(prompt) = ask.prompt.filter(|_| self.peers.len() >= MANY_PEERS) else {
+            return candidates
+                .iter()
+                .map(|candidate| candidate.server.key)
+                .collect();
+        };
+        let servers: Vec<&Server> = candidates
+            .iter()
+            .map(|candidate| candidate.server)
+            .collect();
+        let mut preferred = Vec::new();
+        if let Some(shared) = prompt
+            .last_shared()
+            .filter(|part| part.tokens >= SHARED_TOKENS)
+        {
+            preferred.extend(homes(shared.id, &servers, RANKS));
+        }
+        if let Some(own) = prompt.parts.last() {
+            // The own part is another one for each request: a random choice.
+            preferred.extend(homes(own.id, &servers, CHOICES));
+        }
+        preferred
+    }
+
+    /// Returns the servers to choose from: those set aside only where no other is left.
+    fn servers<'a>(&'a self, ask: &'a Ask, now: Duration) -> Vec<&'a Server> {
+        let untried: Vec<&Server> = self
+            .registry
+            .usable(ask.service)
+            .filter(|server| !ask.tried.contains(&server.key))
+            .collect();
+        let healthy: Vec<&Server> = untried
+            .iter()
+            .copied()
+            .filter(|server| {
+                self.states
+                    .get(&server.key)
+                    .is_none_or(|state| !state.health.is_aside(now))
+            })
+            .collect();
+        if healthy.is_empty() { untried } else { healthy }
+    }
+
+    fn plain<'a>(&self, ask: &Ask, servers: &[&'a Server]) -> Vec<Candidate<'a>> {
+        servers
+            .iter()
+            .map(|server| {
+                let running = self.total_load(server.key).running;
+                let filled = running as f64 / f64::from(server.slots.max(1));
+                let cost_ms = filled * 20.0 + self.common_cost_ms(ask, server);
+                Candidate {
+                    server,
+                    cost_ms,
+                    wait_ms: 0.0,
+                    uncached_tokens: 0,
+                    held_tokens: 0,
+                    used_at: None,
+                    queue_ms: 0.0,
+                    obstacle: None,
+                }
+            })
+            .collect()
+    }
+
+    fn engines<'a>(
+        &self,
+        ask: &Ask,
+        prompt: &Prompt,
+        servers: &[&'a Server],
+    ) -> Vec<Candidate<'a>> {
+        let shared_tokens: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let held: Vec<u64> = servers
+            .iter()
+            .map(|server| self.held_tokens(server.key, prompt))
+            .collect();
+        let most_held = held.iter().copied().max().unwrap_or(0);
+        let is_unknown = shared_tokens > 0;
+        let homes = if is_unknown {
+            prompt
+                .last_shared()
+                .map_or_else(Vec::new, |part| homes(part.id, servers, RANKS))
+        } else {
+            Vec::new()
+        };
+        servers
+            .iter()
+            .zip(held)
+            .map(|(server, held_tokens)| {
+                let mut candidate = self.engine(ask, prompt, server, held_tokens, most_held);
+                if is_unknown {
+                    let rank = homes
+                        .iter()
+                        .position(|key| *key == server.key)
+                        .unwrap_or(RANKS);
+                    let reading_ms = shared_tokens as f64 / self.tuning.read_tokens_per_ms;
+                    candidate.cost_ms += RANK_COST * rank as f64 * reading_ms;
+                }
+                candidate
+            })
+            .collect()
+    }
+
+    fn engine<'a>(
+        &self,
+        ask: &Ask,
+        prompt: &Prompt,
+        server: &'a Server,
+        held_tokens: u64,
+        most_held: u64,
+    ) -> Candidate<'a> {
+        let load = self.total_load(server.key);
+        let uncached_tokens = prompt.tokens.saturating_sub(held_tokens);
+        let fetched = if ask.can_fetch {
+            most_held.saturating_sub(held_tokens)
+        } else {
+            0
+        };
+        let read_tokens = uncached_tokens - fetched.min(uncached_tokens);
+        let pace = self.states.get(&server.key).map_or(1.0, |state| state.pace);
+        let token_ms = pace / self.tuning.read_tokens_per_ms;
+        let queue_ms = load.unread_tokens as f64 * token_ms;
+        let wait_ms = queue_ms + read_tokens as f64 * token_ms + millis(self.tuning.first_event);
+        let cost_ms = wait_ms
+            + FETCH_COST * fetched as f64 * token_ms
+            + load.running as f64 * millis(self.tuning.running_cost)
+            + self.common_cost_ms(ask, server);
+        Candidate {
+            server,
+            cost_ms,
+            wait_ms,
+            uncached_tokens: read_tokens,
+            held_tokens,
+            used_at: self.used_at(server.key, prompt),
+            queue_ms,
+            obstacle: self.obstacle(ask, prompt, server, load, queue_ms, wait_ms),
+        }
+    }
+
+    fn obstacle(
+        &self,
+        ask: &Ask,
+        prompt: &Prompt,
+        server: &Server,
+        load: Load,
+        queue_ms: f64,
+        wait_ms: f64,
+    ) -> Option<Obstacle> {
+        let (time_share, slot_share) = match ask.standing {
+            Standing::Modest => (self.tuning.admit_share, self.tuning.slot_share),
+            Standing::WithinShare { unused } => {
+                let part = self.tuning.limited_part + (1.0 - self.tuning.limited_part) * unused;
+                (
+                    self.tuning.admit_share * part,
+                    self.tuning.slot_share * part,
+                )
+            }
+            Standing::Late | Standing::BeyondShare => {
+                (self.tuning.spare_share, self.tuning.spare_slot_share)
+            }
+        };
+        let bound_ms = millis(ask.objective) * time_share;
+        let queue_bound_ms = millis(ask.least_objective) * self.tuning.queue_share;
+        let leaves_room = ask.objective <= ask.least_objective || wait_ms <= queue_bound_ms;
+        let has_little_waiting = queue_ms <= queue_bound_ms * LARGE_QUEUE_SHARE;
+        // A prompt that takes longer than the bounds by its size alone goes where little waits.
+        let is_large = wait_ms - queue_ms > bound_ms;
+        let is_on_time = if is_large {
+            has_little_waiting
+        } else {
+            wait_ms <= bound_ms && (leaves_room || has_little_waiting)
+        };
+        let has_slot = (load.running as f64) < f64::from(server.slots) * slot_share;
+        let memory_bound = ask.memory_tokens as f64 * self.tuning.memory_share;
+        let has_memory = ask.memory_tokens == 0
+            || (load.memory_tokens + prompt.memory_tokens()) as f64 <= memory_bound
+            || load.running == 0;
+        match (has_slot, has_memory, is_on_time) {
+            (false, _, _) => Some(Obstacle::Slots),
+            (_, false, _) => Some(Obstacle::Memory),
+            (_, _, false) => Some(Obstacle::Late),
+            (true, true, true) => None,
+        }
+    }
+
+    fn common_cost_ms(&self, ask: &Ask, server: &Server) -> f64 {
+        let mut cost_ms = 0.0;
+        if server.domain != ask.domain {
+            cost_ms += millis(self.tuning.domain_cost);
+        }
+        let is_doubtful = self
+            .states
+            .get(&server.key)
+            .is_some_and(|state| state.health.is_doubtful());
+        if is_doubtful || !server.warm_up.is_zero() {
+            cost_ms += millis(self.tuning.doubt_cost);
+        }
+        cost_ms
+    }
+
+    fn held_tokens(&self, key: ServerKey, prompt: &Prompt) -> u64 {
+        self.states
+            .get(&key)
+            .map_or(0, |state| state.cache.held_prefix_tokens(prompt))
+    }
+
+    fn used_at(&self, key: ServerKey, prompt: &Prompt) -> Option<Duration> {
+        let state = self.states.get(&key)?;
+        state.cache.used_at(prompt.last_shared()?.id)
+    }
+
+    fn crowding(&self, ask: &Ask, candidates: &[Candidate]) -> Crowding {
+        let least = |value: fn(&Candidate) -> f64| {
+            candidates.iter().map(value).fold(f64::INFINITY, f64::min)
+        };
+        let count = |obstacle: Obstacle| {
+            candidates
+                .iter()
+                .filter(|candidate| candidate.obstacle == Some(obstacle))
+                .count()
+        };
+        let wait_ms = least(|candidate| candidate.wait_ms);
+        let over_ms = (wait_ms - millis(ask.objective) * self.tuning.admit_share).max(0.0);
+        Crowding {
+            room_in: Duration::from_secs_f64(over_ms / 1000.0),
+            least_queue: Duration::from_secs_f64(least(|candidate| candidate.queue_ms) / 1000.0),
+            late: count(Obstacle::Late),
+            full: count(Obstacle::Slots),
+            out_of_memory: count(Obstacle::Memory),
+        }
+    }
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -1,8 +1,11 @@
 //! Decisions about backend servers: which one takes a request, whether any should, and who may
 //! repeat one. Nothing here touches a socket; every call is given the time.
 
+mod ask;
 mod budget;
 mod cache;
+mod candidate;
+mod choice;
 mod health;
 mod load;
 mod peers;
@@ -15,12 +18,13 @@
 mod tuning;
 
 pub use {
+    ask::{Ask, Crowding, Declined, Placement, Standing},
     budget::RetryBudget,
     cache::CacheView,
     health::{Health, Outcome},
     load::Load,
     peers::{PeerReport, Peers},
-    placer::{Ask, Crowding, Declined, Placement, Placer, Standing},
+    placer::Placer,
     prompt::{Part, PartId, Prompt},
     registry::Registry,
     server::{Server, ServerId, ServerKey},
