--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -36,7 +36,7 @@
 
 /// While the store is out of reach, every other call waits this many times longer for its answer:
 /// short ones notice its return early, long ones get through where it is slow.
-const SLOW_STORE_FACTOR: u32 = 3;
+const SLOW_STORE_FACTOR: f64 = 1.5;
 
 /// Follows one table.
 pub struct Follower<S, L, R> {
@@ -120,8 +120,8 @@
             return (wait, self.pace.answer);
         }
         let is_patient = self.failures.is_multiple_of(2);
-        let factor = if is_patient { SLOW_STORE_FACTOR } else { 1 };
-        (Duration::ZERO, self.pace.answer * factor)
+        let factor = if is_patient { SLOW_STORE_FACTOR } else { 1.0 };
+        (Duration::ZERO, self.pace.answer.mul_f64(factor))
     }
 
     async fn list(&mut self) -> Result<(), SourceError> {
--- /dev/null
+++ b/crates/watch/tests/follower.rs
@@ -0,0 +1,121 @@
+//! How soon a follower notices that the store is back, whenever it returns.
+
+use {
+    baobab_watch::{
+        Answer, Change, Changes, Follower, Listener, Listing, Pace, Revision, Row, Signals, Source,
+        SourceError,
+    },
+    rand_chacha::{ChaCha8Rng, rand_core::SeedableRng},
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::time::{Instant, sleep, sleep_until},
+};
+
+/// A machine is in touch three seconds after its way to the store is back, and lapsed entries are
+/// given 1.6 s of that.
+const NOTICED: Duration = Duration::from_millis(1400);
+/// The pace of the configuration's follower.
+const PACE: Pace = Pace {
+    wait: Duration::from_secs(20),
+    gather: Duration::ZERO,
+    answer: Duration::from_millis(700),
+    first_pause: Duration::from_millis(60),
+    longest_pause: Duration::from_millis(300),
+};
+
+/// Answers nothing between two moments; calls that began then are never answered.
+struct SilentStore {
+    silent_from: Instant,
+    silent_until: Instant,
+}
+
+impl SilentStore {
+    async fn wait(&self, wait: Duration, timeout: Duration) -> Result<(), SourceError> {
+        let began = Instant::now();
+        let is_silent = began + wait >= self.silent_from && began < self.silent_until;
+        if is_silent {
+            sleep(timeout).await;
+            return Err(SourceError::Unreachable("no answer in time".to_owned()));
+        }
+        sleep(wait).await;
+        Ok(())
+    }
+}
+
+impl Source for SilentStore {
+    fn list<'a>(&'a mut self, _table: &'a str, timeout: Duration) -> Answer<'a, Listing> {
+        Box::pin(async move {
+            self.wait(Duration::ZERO, timeout).await?;
+            Ok(Listing {
+                revision: 1,
+                store_time: Duration::from_secs(1),
+                rows: Vec::new(),
+            })
+        })
+    }
+
+    fn changes<'a>(
+        &'a mut self,
+        _table: &'a str,
+        since: Revision,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Answer<'a, Changes> {
+        Box::pin(async move {
+            self.wait(wait, timeout).await?;
+            Ok(Changes {
+                revision: since,
+                store_time: Duration::from_secs(1),
+                changes: Vec::new(),
+            })
+        })
+    }
+
+    fn reset(&mut self) {}
+}
+
+#[derive(Clone, Default)]
+struct Noticed(Rc<Cell<Option<Instant>>>);
+
+impl Listener for Noticed {
+    fn on_listing(&mut self, _rows: Vec<Row>) {}
+    fn on_change(&mut self, _change: Change) {}
+    fn on_current(&mut self, _as_of: Duration, _store_time: Duration) {}
+    fn on_lost(&mut self, _error: &SourceError) {}
+
+    fn on_regained(&mut self) {
+        self.0.set(Some(Instant::now()));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_return_of_the_store_is_noticed_soon_whenever_it_is() {
+    for step in 0..80_u64 {
+        let began = Instant::now();
+        let silent_until = began
+            + Duration::from_secs(4)
+            + Duration::from_millis(50) * u32::try_from(step).unwrap();
+        let store = SilentStore {
+            silent_from: began + Duration::from_millis(100),
+            silent_until,
+        };
+        let noticed = Noticed::default();
+        let signals = Signals::default();
+        let random = ChaCha8Rng::seed_from_u64(step);
+        let follower = Follower::new("op", store, noticed.clone(), random, PACE, signals.clone());
+        let interrupt = Rc::clone(&signals.interrupt);
+        tokio::select! {
+            () = follower.run() => {}
+            () = async {
+                // A confirmation is due, which ends the call that is waiting for changes.
+                sleep(Duration::from_secs(1)).await;
+                interrupt.notify_waiters();
+                sleep_until(silent_until + Duration::from_secs(5)).await;
+            } => {}
+        }
+        let took = noticed.0.get().map(|at| at - silent_until);
+        assert!(
+            took.is_some_and(|took| took <= NOTICED),
+            "step {step}: {took:?}"
+        );
+    }
+}
