Remove dead code and one copy of a refusal

Cause: a second reading of the whole change: three functions without a caller, a sleep of no time, a test that was always true where homes rank (without shared parts the cost is zero anyway), and the same refusal written twice. Change: they are gone; elsewhere() makes both refusals; the comment on RANK_COST says what it does. Conclusion: behaviour is unchanged.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -10,7 +10,7 @@
 
 /// Cost of fetching a token from another engine, relative to reading it.
 const FETCH_COST: f64 = 1.0;
-/// Cost of a home's rank where nobody is known to hold the shared parts, relative to reading them.
+/// Cost of each rank behind the first home of the shared parts, relative to reading them.
 const RANK_COST: f64 = 0.5;
 /// Share of the bound that may wait before a prompt that is large for it.
 const LARGE_QUEUE_SHARE: f64 = 0.25;
@@ -141,27 +141,20 @@
             .map(|server| self.held_tokens(server.key, prompt))
             .collect();
         let most_held = held.iter().copied().max().unwrap_or(0);
-        let is_unknown = shared_tokens > 0;
-        let homes = if is_unknown {
-            prompt
-                .last_shared()
-                .map_or_else(Vec::new, |part| homes(part.id, servers, RANKS))
-        } else {
-            Vec::new()
-        };
+        let reading_ms = shared_tokens as f64 / self.tuning.read_tokens_per_ms;
+        let homes = prompt
+            .last_shared()
+            .map_or_else(Vec::new, |part| homes(part.id, servers, RANKS));
         servers
             .iter()
             .zip(held)
             .map(|(server, held_tokens)| {
                 let mut candidate = self.engine(ask, prompt, server, held_tokens, most_held);
-                if is_unknown {
-                    let rank = homes
-                        .iter()
-                        .position(|key| *key == server.key)
-                        .unwrap_or(RANKS);
-                    let reading_ms = shared_tokens as f64 / self.tuning.read_tokens_per_ms;
-                    candidate.cost_ms += RANK_COST * rank as f64 * reading_ms;
-                }
+                let rank = homes
+                    .iter()
+                    .position(|key| *key == server.key)
+                    .unwrap_or(RANKS);
+                candidate.cost_ms += RANK_COST * rank as f64 * reading_ms;
                 candidate
             })
             .collect()
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -59,12 +59,6 @@
         self.failure_share > AVOID_SHARE
     }
 
-    /// Returns the share of recent requests that failed.
-    #[must_use]
-    pub fn failure_share(&self) -> f64 {
-        self.failure_share
-    }
-
     fn on_success(&mut self) {
         self.failure_share *= 1.0 - NEWEST_WEIGHT;
         self.failures_in_a_row = 0;
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -165,12 +165,7 @@
     if !is_late_stream && expected + GRACE_MARGIN < left {
         return Ok(());
     }
-    let pause = retry_after(
-        RetryLoad::Passing(ELSEWHERE_PAUSE),
-        job.time_left(),
-        core.fraction(),
-    );
-    Err(Problem::later(Reason::Stopping, pause))
+    Err(elsewhere(core, job, Reason::Stopping))
 }
 
 /// A router that reads late refuses streams, which other routers can still serve on time.
@@ -182,10 +177,15 @@
     if !job.route.repeat.is_stream() || !core.overload.borrow().refuses_streams(is_modest) {
         return Ok(());
     }
+    Err(elsewhere(core, job, Reason::Overloaded))
+}
+
+/// Sends a caller to another router, which can serve it now.
+fn elsewhere(core: &Core, job: &Job, reason: Reason) -> Problem {
     let pause = retry_after(
         RetryLoad::Passing(ELSEWHERE_PAUSE),
         job.time_left(),
         core.fraction(),
     );
-    Err(Problem::later(Reason::Overloaded, pause))
+    Problem::later(reason, pause)
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -24,7 +24,7 @@
         net::UdpSocket,
         runtime::Builder,
         task::LocalSet,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep},
     },
 };
 
@@ -63,12 +63,6 @@
             log::error!("the traffic thread has panicked");
         }
     }
-
-    /// Tells whether the thread has ended.
-    #[must_use]
-    pub fn is_finished(&self) -> bool {
-        self.thread.is_finished()
-    }
 }
 
 /// Starts the traffic thread. `dialect` makes the deployment's headers on that thread.
@@ -245,6 +239,5 @@
             0
         };
     }
-    sleep_until(Instant::now()).await;
     log::info!(under_way = core.under_way.get(); "router stops");
 }
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -142,17 +142,4 @@
             .min()
             .unwrap_or(Duration::MAX)
     }
-
-    /// Returns how many workspaces there are.
-    #[must_use]
-    pub fn workspace_count(&self) -> usize {
-        let Some(keys) = &self.keys else {
-            return 0;
-        };
-        let names: std::collections::BTreeSet<&str> = keys
-            .values()
-            .map(|workspace| workspace.name.as_str())
-            .collect();
-        names.len()
-    }
 }
