Keep one identity of a router

Cause: relay and the adapter each had a struct Identity with the same two fields, joined by a tuple. Ruled out: nothing. Change: relay owns Identity and draws it; the adapter uses it. Conclusion: behaviour is meant to be unchanged.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod forward;
 mod gossip;
+mod identity;
 mod metrics;
 mod operators;
 mod overload;
@@ -22,6 +23,7 @@
     dialect::{Dialect, Inbound, Malformed, Outbound, Verdict},
     error::RelayError,
     gossip::PeerKey,
+    identity::Identity,
     overload::Overload,
     relay::{Handle, spawn},
     settings::{Bounds, Settings},
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,13 +7,12 @@
         core::{Core, Phase},
         dialect::Dialect,
         error::RelayError,
-        gossip::PeerKey,
+        identity::Identity,
         operators,
         settings::Settings,
         shared::Shared,
         ticker,
     },
-    baobab_unit::Incarnation,
     flume::{Receiver, Sender},
     std::{
         rc::Rc,
@@ -36,15 +35,6 @@
 /// Time between two looks at whether everything has ended.
 const END_LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Who a router is to its peers.
-#[derive(Debug, Clone, Copy)]
-pub struct Identity {
-    /// This run of the process.
-    pub incarnation: Incarnation,
-    /// Key of its datagrams.
-    pub key: PeerKey,
-}
-
 /// A running traffic thread.
 #[derive(Debug)]
 pub struct Handle {
@@ -74,14 +64,10 @@
     settings: Settings,
     shared: Shared,
     dialect: impl FnOnce() -> Box<dyn Dialect> + Send + 'static,
-    identity: (Incarnation, PeerKey),
+    identity: Identity,
     commands: (Sender<Command>, Receiver<Command>),
 ) -> Result<Handle, RelayError> {
     let (sender, receiver) = commands;
-    let identity = Identity {
-        incarnation: identity.0,
-        key: identity.1,
-    };
     let (started_sender, started) = flume::bounded(1);
     let thread = thread::Builder::new()
         .name("traffic".to_owned())
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -4,7 +4,7 @@
     crate::{
         core::Core,
         gossip::{Confirmed, News, Sender, ToldPart, seal},
-        relay::Identity,
+        identity::Identity,
     },
     baobab_place::PeerReport,
     baobab_routing::Confirmation,
