Bound connections in use by slots, and blame no server for a full part

Cause: on the grown deployments a balancer sends a few routers many times their part. Each had an even part of a server's connections (8 of 860 at 90 routers). Ruled out: servers that were really gone (refused connections were logged apart, evenly over the routers). Change: connections in use are bounded by the server's slots, unused ones are divided evenly; placement knows the bound and treats it like taken slots; a full part is an outcome of its own that says nothing about the server.

--- a/crates/place/src/ask.rs
+++ b/crates/place/src/ask.rs
@@ -43,6 +43,8 @@
     pub can_fetch: bool,
     /// Memory of each engine of the service, in tokens; zero where unknown.
     pub memory_tokens: u64,
+    /// Connections that each server of the service accepts from all routers.
+    pub max_connections: u32,
 }
 
 /// The chosen server.
@@ -80,7 +82,7 @@
     pub least_queue: Duration,
     /// Engines that would answer late.
     pub late: usize,
-    /// Engines whose slots are taken.
+    /// Engines whose slots are taken, or to which the router has all its connections in use.
     pub full: usize,
     /// Engines whose memory is taken.
     pub out_of_memory: usize,
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -113,6 +113,7 @@
             .iter()
             .map(|server| {
                 let running = self.total_load(server.key).running;
+                let obstacle = (!self.has_connection(ask, server)).then_some(Obstacle::Slots);
                 let filled = running as f64 / f64::from(server.slots.max(1));
                 let cost_ms = filled * 20.0 + self.common_cost_ms(ask, server);
                 Candidate {
@@ -123,7 +124,7 @@
                     held_tokens: 0,
                     used_at: None,
                     queue_ms: 0.0,
-                    obstacle: None,
+                    obstacle,
                 }
             })
             .collect()
@@ -229,7 +230,8 @@
         } else {
             wait_ms <= bound_ms && (leaves_room || has_little_waiting)
         };
-        let has_slot = (load.running as f64) < f64::from(server.slots) * slot_share;
+        let has_slot = (load.running as f64) < f64::from(server.slots) * slot_share
+            && self.has_connection(ask, server);
         let memory_bound = ask.memory_tokens as f64 * self.tuning.memory_share;
         let has_memory = ask.memory_tokens == 0
             || (load.memory_tokens + prompt.memory_tokens()) as f64 <= memory_bound
@@ -242,6 +244,16 @@
         }
     }
 
+    /// Tells whether the router may use another connection to the server.
+    fn has_connection(&self, ask: &Ask, server: &Server) -> bool {
+        let limits = self.connection_limits(server, ask.max_connections);
+        let own_running = self
+            .states
+            .get(&server.key)
+            .map_or(0, |state| state.load.running);
+        own_running < limits.busy as u64
+    }
+
     fn common_cost_ms(&self, ask: &Ask, server: &Server) -> f64 {
         let mut cost_ms = 0.0;
         if server.domain != ask.domain {
--- /dev/null
+++ b/crates/place/src/connections.rs
@@ -0,0 +1,43 @@
+//! How many connections to one server a router may have.
+
+use crate::Server;
+
+/// Part of a server's connections that all routers together use.
+const USED_SHARE: f64 = 0.9;
+/// Connections in use that every router may have, whatever its part.
+const LEAST_BUSY: usize = 2;
+/// Unused connections that are kept at most: a burst of one event interval.
+const MOST_IDLE: usize = 8;
+
+/// A router's part of a server's connections.
+///
+/// A balancer may send one router many times its part of the requests, so connections in use are
+/// bounded by the server's slots, which all routers fill together, and not by an even part. Unused
+/// ones are divided evenly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Connections in use.
+    pub busy: usize,
+    /// Unused connections that are kept.
+    pub idle: usize,
+}
+
+impl ConnectionLimits {
+    /// Returns the limits for a server that accepts `max_connections` from `fleet_size` routers.
+    #[must_use]
+    pub fn new(server: &Server, max_connections: u32, fleet_size: usize) -> Self {
+        let slots = server.slots as usize;
+        let used = part_of(max_connections, USED_SHARE);
+        let fleet_size = fleet_size.max(1);
+        Self {
+            busy: (used / fleet_size).max(slots).max(LEAST_BUSY),
+            idle: (used.saturating_sub(slots) / fleet_size).min(MOST_IDLE),
+        }
+    }
+}
+
+/// Returns a share of a count.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn part_of(count: u32, share: f64) -> usize {
+    (f64::from(count) * share) as usize
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,6 +6,7 @@
 mod cache;
 mod candidate;
 mod choice;
+mod connections;
 mod health;
 mod load;
 mod peers;
@@ -21,6 +22,7 @@
     ask::{Ask, Crowding, Declined, Placement, Standing},
     budget::RetryBudget,
     cache::CacheView,
+    connections::ConnectionLimits,
     health::{Health, Outcome},
     load::Load,
     peers::{PeerReport, Peers},
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        CacheView, Health, Load, Outcome, Part, Peers, Placement, Prompt, Registry, ServerKey,
-        Tuning,
+        CacheView, ConnectionLimits, Health, Load, Outcome, Part, Peers, Placement, Prompt,
+        Registry, Server, ServerKey, Tuning,
     },
     std::{collections::HashMap, time::Duration},
 };
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) health: Health,
-    load: Load,
+    pub(crate) load: Load,
     pub(crate) cache: CacheView,
     pub(crate) pace: f64,
     is_changed: bool,
@@ -195,6 +195,12 @@
         load
     }
 
+    /// Returns how many connections to a server this router may have.
+    #[must_use]
+    pub fn connection_limits(&self, server: &Server, max_connections: u32) -> ConnectionLimits {
+        ConnectionLimits::new(server, max_connections, self.peers.len() + 1)
+    }
+
     fn release(&mut self, key: ServerKey, load: Load) {
         if let Some(state) = self.states.get_mut(&key) {
             state.load -= load;
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -2,8 +2,8 @@
 
 use {
     baobab_place::{
-        Ask, Declined, Load, Outcome, Part, PeerReport, Peers, Placement, Placer, Prompt, Registry,
-        Server, Standing, Tuning,
+        Ask, ConnectionLimits, Declined, Load, Outcome, Part, PeerReport, Peers, Placement, Placer,
+        Prompt, Registry, Server, Standing, Tuning,
     },
     std::time::Duration,
 };
@@ -68,6 +68,7 @@
         standing,
         can_fetch: true,
         memory_tokens: MEMORY_TOKENS,
+        max_connections: 360,
     }
 }
 
@@ -307,3 +308,46 @@
     placer.on_restarted(1);
     assert_eq!(placer.place(&ask, NOW).unwrap().held_tokens, 0);
 }
+
+#[test]
+fn a_busy_router_may_fill_the_slots_of_an_engine_in_a_large_fleet() {
+    let engine = server(1);
+    // Max connections, routers, then the limits: in use and unused.
+    let cases = [
+        (360, 6, (64, 8)),
+        (860, 90, (64, 7)),
+        (860, 300, (64, 2)),
+        (96, 6, (64, 3)),
+    ];
+    for (max_connections, fleet_size, (busy, idle)) in cases {
+        let limits = ConnectionLimits::new(&engine, max_connections, fleet_size);
+        assert_eq!(
+            limits,
+            ConnectionLimits { busy, idle },
+            "{max_connections}, {fleet_size}"
+        );
+    }
+}
+
+#[test]
+fn a_server_without_a_free_connection_gets_nothing_and_is_not_blamed() {
+    let mut placer = placer(1);
+    let prompt = prompt(7, 100, 6_000);
+    let mut plain = ask(&prompt, Standing::Modest);
+    plain.prompt = None;
+    plain.max_connections = 2;
+    let limit = placer
+        .connection_limits(&server(1), plain.max_connections)
+        .busy;
+    for _ in 0..limit {
+        let placement = placer.place(&plain, NOW).unwrap();
+        placer.on_sent(&placement, None, NOW);
+    }
+    assert!(matches!(placer.place(&plain, NOW), Err(Declined::Busy(_))));
+    let one = Load {
+        running: 1,
+        ..Load::default()
+    };
+    placer.on_finished(1, one, Some(Outcome::Full), NOW);
+    assert!(placer.place(&plain, NOW).is_ok());
+}
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -10,7 +10,7 @@
     crate::{
         core::Core,
         dialect::{Outbound, Verdict},
-        pool::Trust,
+        pool::{OpenError, Trust},
     },
     baobab_client::{Connection, SendError},
     baobab_place::{Outcome, Placement},
@@ -23,11 +23,6 @@
     tokio::time::timeout,
 };
 
-/// Part of a server's connections that all routers together use.
-const CONNECTION_SHARE: f64 = 0.9;
-/// Connections to a server that every router may have, whatever its part.
-const LEAST_CONNECTIONS: usize = 2;
-
 /// The head of an answer, and the way to the rest.
 pub struct Answer {
     /// Status and headers.
@@ -44,6 +39,10 @@
         NotSent(reason: String) {
             display("nothing was sent: {reason}")
         }
+        /// The router's connections to the server are all in use.
+        NoConnection(most: usize) {
+            display("all {most} connections to the server are in use")
+        }
         /// The server says that it has not run the request.
         NotRun {
             display("the server has not run the request")
@@ -73,7 +72,7 @@
     stall: Option<Duration>,
 ) -> Result<Answer, Miss> {
     let fetch_from = placement.fetch_from;
-    let lease = LoadLease::take(core, placement, job.prompt.as_ref());
+    let lease = LoadLease::take(core, placement, job);
     if fetch_from.is_some() {
         core.metrics
             .fetches
@@ -93,6 +92,7 @@
         Err(miss) => {
             let outcome = match miss {
                 Miss::NotSent(_) => Outcome::Unreachable,
+                Miss::NoConnection(_) => Outcome::Full,
                 _ => Outcome::Failure,
             };
             lease.finish(outcome);
@@ -114,7 +114,7 @@
         let was_kept = kept.is_some();
         let connection = match kept.take() {
             Some(connection) => connection,
-            None => open(core, job, lease).await?,
+            None => open(core, lease).await?,
         };
         let mut in_use = InUse::new(core, lease, connection);
         let request = request(core, job, lease, fetch_from, resume_after);
@@ -132,19 +132,18 @@
     }
 }
 
-async fn open(core: &Rc<Core>, job: &Job, lease: &LoadLease) -> Result<Connection, Miss> {
-    let fleet_size = core.book.borrow().fleet_size();
-    let part = f64::from(job.max_connections) * CONNECTION_SHARE / fleet_size as f64;
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let most = (part as usize).max(LEAST_CONNECTIONS);
+async fn open(core: &Rc<Core>, lease: &LoadLease) -> Result<Connection, Miss> {
     core.metrics
         .connections
         .with_label_values(&[lease.server.service.as_str()])
         .inc();
     core.pool
-        .open(&lease.server, most)
+        .open(&lease.server, lease.limits.busy)
         .await
-        .map_err(|error| Miss::NotSent(error.to_string()))
+        .map_err(|error| match error {
+            OpenError::AllInUse(most) => Miss::NoConnection(most),
+            OpenError::Refused(error) => Miss::NotSent(error.to_string()),
+        })
 }
 
 fn trust(repeat: Repeat) -> Trust {
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -252,7 +252,7 @@
     server: ServerKey,
 ) -> Result<(), Problem> {
     let (reason, may_repeat) = match miss {
-        Miss::NotSent(_) => {
+        Miss::NotSent(_) | Miss::NoConnection(_) => {
             attempts.unreachable += 1;
             if attempts.unreachable < MOST_UNREACHABLE {
                 return Ok(());
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -85,10 +85,11 @@
     pub fn finish(mut self, outcome: Outcome) {
         if let Some(lease) = self.lease.take() {
             let server = lease.server.key;
+            let most_idle = lease.limits.idle;
             let is_kept = outcome == Outcome::Success || self.body.is_end_stream();
             match (self.keep, self.connection.take()) {
                 (Keep::Reuse(time), Some(connection)) if is_kept => {
-                    self.core.pool.put(server, connection, time);
+                    self.core.pool.put(server, connection, time, most_idle);
                 }
                 _ => self.core.pool.discard(server),
             }
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -100,6 +100,7 @@
                 .as_ref()
                 .is_some_and(|engine| engine.shares_cache),
             memory_tokens: self.engine.as_ref().map_or(0, |engine| engine.cache_tokens),
+            max_connections: self.max_connections,
         }
     }
 }
--- a/crates/relay/src/forward/lease.rs
+++ b/crates/relay/src/forward/lease.rs
@@ -1,8 +1,9 @@
 //! Counts a request against its server until it ends.
 
 use {
+    super::job::Job,
     crate::core::Core,
-    baobab_place::{Load, Outcome, Placement, Prompt, Server},
+    baobab_place::{ConnectionLimits, Load, Outcome, Placement, Server},
     std::{rc::Rc, time::Duration},
     tokio::time::Instant,
 };
@@ -12,6 +13,8 @@
     core: Rc<Core>,
     /// The server.
     pub server: Server,
+    /// Connections to the server that the router may have.
+    pub limits: ConnectionLimits,
     load: Load,
     foretold: Duration,
     sent_at: Instant,
@@ -21,12 +24,16 @@
 impl LoadLease {
     /// Counts a request that is about to be sent.
     #[must_use]
-    pub fn take(core: &Rc<Core>, placement: Placement, prompt: Option<&Prompt>) -> Self {
+    pub fn take(core: &Rc<Core>, placement: Placement, job: &Job) -> Self {
         let now = core.now();
-        let load = core.placer.borrow_mut().on_sent(&placement, prompt, now);
+        let mut placer = core.placer.borrow_mut();
+        let load = placer.on_sent(&placement, job.prompt.as_ref(), now);
+        let limits = placer.connection_limits(&placement.server, job.max_connections);
+        drop(placer);
         Self {
             core: Rc::clone(core),
             server: placement.server,
+            limits,
             load,
             foretold: placement.foretold,
             sent_at: Instant::now(),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,6 +3,7 @@
 use {
     baobab_client::{Connection, Options, SendError},
     baobab_place::{Server, ServerKey},
+    quick_error::quick_error,
     std::{cell::RefCell, collections::HashMap, time::Duration},
 };
 
@@ -18,8 +19,21 @@
 const KEEP: Duration = Duration::from_secs(2);
 /// Time before the server's own timeout at which an unused connection is given up.
 const KEEP_MARGIN: Duration = Duration::from_millis(1200);
-/// Unused connections that are kept for each server.
-const MOST_IDLE: usize = 8;
+
+quick_error! {
+    /// Why there is no connection.
+    #[derive(Debug)]
+    pub enum OpenError {
+        /// The router's part of the server's connections is in use; the server is not to blame.
+        AllInUse(most: usize) {
+            display("all {most} connections to the server are in use")
+        }
+        /// The server did not accept.
+        Refused(error: SendError) {
+            display("{error}")
+        }
+    }
+}
 
 /// How sure a connection has to be for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -83,7 +97,7 @@
     /// # Errors
     ///
     /// Fails where the server does not accept, or has `most` connections of this router.
-    pub async fn open(&self, server: &Server, most: usize) -> Result<Connection, SendError> {
+    pub async fn open(&self, server: &Server, most: usize) -> Result<Connection, OpenError> {
         {
             let mut lines = self.lines.borrow_mut();
             let lines = lines.entry(server.key).or_default();
@@ -91,7 +105,7 @@
                 lines.open -= 1;
             }
             if lines.open >= most {
-                return Err(SendError::NotSent(format!("{most} connections are open")));
+                return Err(OpenError::AllInUse(most));
             }
             lines.open += 1;
         }
@@ -100,17 +114,21 @@
             server: server.key,
             is_kept: false,
         };
-        let connection = Connection::open(server.address, OPTIONS).await?;
+        let connection = Connection::open(server.address, OPTIONS)
+            .await
+            .map_err(OpenError::Refused)?;
         counted.keep();
         Ok(connection)
     }
 
-    /// Keeps a connection whose exchange has ended, for the time that the server has said.
+    /// Keeps a connection whose exchange has ended, for the time that the server has said, unless
+    /// `most_idle` are kept already.
     pub fn put(
         &self,
         server: ServerKey,
         mut connection: Connection,
         server_keeps: Option<Duration>,
+        most_idle: usize,
     ) {
         connection.touch();
         let keep = match server_keeps {
@@ -119,7 +137,7 @@
         };
         let mut lines = self.lines.borrow_mut();
         let lines = lines.entry(server).or_default();
-        if !connection.is_closed() && lines.idle.len() < MOST_IDLE && !keep.is_zero() {
+        if !connection.is_closed() && lines.idle.len() < most_idle && !keep.is_zero() {
             lines.idle.push(Idle { connection, keep });
         } else {
             lines.open = lines.open.saturating_sub(1);
