Let the fleet keep an unused share, and not each router

Every router kept 120,000 unused tokens at least for each workspace, so the first had 10.8 M before its share counted at all. Ruled out: overloaded routers (one of 90 was, refusals were for want of room). Change: all routers together keep 720,000 tokens, each an even part, as six routers did. Lines of sent and refused requests name the workspace.

--- a/crates/place/src/shares.rs
+++ b/crates/place/src/shares.rs
@@ -20,8 +20,10 @@
 const KEEP_S: f64 = 2.0;
 /// Times what is served that is handed out, so that a growing capacity is found.
 const HEADROOM: f64 = 1.05;
-/// Unused share that is kept at least, in tokens: a few of the largest requests.
-const KEEP_TOKENS: f64 = 120_000.0;
+/// Unused share that all routers together keep at least, in tokens: a few of the largest requests at
+/// each of a few routers. Each keeps an even part, so that a workspace whose callers reach many
+/// routers gets no more than one whose callers reach two.
+const FLEET_KEEP_TOKENS: f64 = 720_000.0;
 
 /// What one workspace asks for and gets, in tokens a second.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -53,6 +55,8 @@
 #[derive(Debug)]
 pub struct Shares {
     accounts: HashMap<WorkspaceId, Account>,
+    /// Unused share that this router keeps at least, in tokens.
+    keep_tokens: f64,
     ticked_at: Duration,
 }
 
@@ -62,6 +66,7 @@
     pub fn new(now: Duration) -> Self {
         Self {
             accounts: HashMap::new(),
+            keep_tokens: FLEET_KEEP_TOKENS,
             ticked_at: now,
         }
     }
@@ -69,8 +74,8 @@
     /// Counts what a request asks for.
     pub fn claim(&mut self, workspace: WorkspaceId, tokens: u64) {
         let account = self.accounts.entry(workspace).or_insert_with(|| Account {
-            balance: KEEP_TOKENS,
-            most: KEEP_TOKENS,
+            balance: self.keep_tokens,
+            most: self.keep_tokens,
             ..Account::default()
         });
         account.asked += tokens as f64;
@@ -112,12 +117,14 @@
     /// Refills the shares where a tick has passed. `others` is what the other routers are asked
     /// for, `capacity` what all engines produce at least, in tokens a second. Engines that read
     /// from their caches produce more: what is served counts as the capacity where it is higher.
-    pub fn tick(&mut self, others: &Claims, capacity: f64, now: Duration) {
+    /// `fleet_size` is the number of routers.
+    pub fn tick(&mut self, others: &Claims, capacity: f64, fleet_size: usize, now: Duration) {
         let elapsed = now.saturating_sub(self.ticked_at);
         if elapsed < TICK {
             return;
         }
         self.ticked_at = now;
+        self.keep_tokens = FLEET_KEEP_TOKENS / fleet_size.max(1) as f64;
         let ticks = elapsed.as_secs_f64() / TICK.as_secs_f64();
         let totals = self.totals(others);
         let served: f64 = totals.values().map(|claim| claim.served).sum();
@@ -132,7 +139,7 @@
                 0.0
             };
             let refill = total.min(share) * part;
-            account.most = (refill * KEEP_S).max(KEEP_TOKENS);
+            account.most = (refill * KEEP_S).max(self.keep_tokens);
             account.balance = (account.balance + refill * elapsed.as_secs_f64()).min(account.most);
             let kept = (1.0 - FORGET).powf(ticks);
             account.asked *= kept;
--- a/crates/place/tests/shares.rs
+++ b/crates/place/tests/shares.rs
@@ -8,6 +8,7 @@
 const TICK: Duration = Duration::from_millis(100);
 const LARGE: u32 = 1;
 const SMALL: u32 = 2;
+const SMALL_FLEET: usize = 6;
 
 #[test]
 fn max_min_gives_the_small_all_and_the_others_the_same() {
@@ -40,7 +41,7 @@
     let mut waiting = 0_u64;
     for tick in 1..=seconds * 10 {
         waiting = waiting.saturating_sub(room);
-        shares.tick(&Claims::new(), capacity, TICK * tick);
+        shares.tick(&Claims::new(), capacity, SMALL_FLEET, TICK * tick);
         for (index, (workspace, requests, tokens)) in demand.into_iter().enumerate() {
             for _ in 0..requests {
                 shares.claim(workspace, tokens);
@@ -120,7 +121,7 @@
     );
     let mut covered = 0;
     for tick in 1..=100_u32 {
-        shares.tick(&others, 100_000.0, TICK * tick);
+        shares.tick(&others, 100_000.0, SMALL_FLEET, TICK * tick);
         shares.claim(LARGE, 10_000);
         let standing = shares.standing(LARGE);
         if standing != Standing::BeyondShare {
@@ -140,3 +141,40 @@
     shares.charge(SMALL, 1_000_000, Standing::BeyondShare);
     assert_ne!(shares.standing(SMALL), Standing::BeyondShare);
 }
+
+/// Returns the tokens that a workspace is served within its share at a sudden flood, summed over
+/// the routers that its callers reach, before any share has been refilled.
+fn served_at_once(routers: usize) -> u64 {
+    const TOKENS: u64 = 15_000;
+    let mut served = 0;
+    for _ in 0..routers {
+        let mut shares = Shares::new(Duration::ZERO);
+        let mut others = Claims::new();
+        others.insert(
+            LARGE,
+            Claim {
+                asked: 3_000_000.0,
+                served: 600_000.0,
+            },
+        );
+        shares.tick(&others, 600_000.0, routers, TICK);
+        shares.claim(LARGE, TOKENS);
+        shares.tick(&others, 600_000.0, routers, TICK * 2);
+        while shares.standing(LARGE) != Standing::BeyondShare {
+            shares.charge(LARGE, TOKENS, Standing::WithinShare { unused: 1.0 });
+            served += TOKENS;
+        }
+    }
+    served
+}
+
+#[test]
+fn callers_that_reach_many_routers_get_no_more_at_once() {
+    let one_request_each = 90 * 15_000;
+    let at_six = served_at_once(6);
+    let at_ninety = served_at_once(90);
+    assert!(
+        at_ninety <= at_six + one_request_each,
+        "{at_ninety} tokens through 90 routers, {at_six} through 6"
+    );
+}
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -71,6 +71,8 @@
         log::info!(
             id = job.id.as_str(),
             server = placement.server.id.as_str(),
+            workspace = job.workspace_name(),
+            claim_tokens = job.claim_tokens(),
             attempt = attempts.sent + 1,
             time_left_ms = millis(job.time_left()),
             foretold_ms = placement.foretold.as_millis(),
@@ -156,6 +158,8 @@
 fn refusal(core: &Core, job: &Job, standing: Standing, crowding: Crowding) -> Problem {
     log::info!(
         id = job.id.as_str(),
+        workspace = job.workspace_name(),
+        claim_tokens = job.claim_tokens(),
         standing:? = standing,
         least_queue_ms = millis(crowding.least_queue),
         late = crowding.late,
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -73,6 +73,14 @@
         self.body.take();
     }
 
+    /// Returns the name of the caller's workspace, for the logs.
+    #[must_use]
+    pub fn workspace_name(&self) -> &str {
+        self.caller
+            .as_ref()
+            .map_or("-", |caller| caller.name.as_str())
+    }
+
     /// Returns what the request claims of its workspace's share.
     #[must_use]
     pub fn claim_tokens(&self) -> u64 {
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -129,7 +129,10 @@
         return;
     };
     let others = core.placer.borrow().peers.claims();
-    core.shares.borrow_mut().tick(&others, capacity, now);
+    let fleet_size = core.book.borrow().fleet_size();
+    core.shares
+        .borrow_mut()
+        .tick(&others, capacity, fleet_size, now);
 }
 
 fn news(core: &Core, is_whole: bool, tells_claims: bool) -> News {
