--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -206,6 +206,6 @@
         self.failures += 1;
         let rest = self.pace.retry_interval.saturating_sub(began.elapsed());
         let pause = self.backoff.next_pause(&mut self.random);
-        self.pause(pause.min(rest).max(self.pace.first_pause)).await;
+        self.pause(pause.min(rest)).await;
     }
 }
