Let a few routers read the servers' table and tell the others

Ruled out: longer gathering alone (bounded by the time to drain). Change: from twelve routers on, the four that come first among those that are heard follow the tables of servers and routers, and tell their changes by datagram for 1.2 s, with the revisions that they lie between. The others take in what follows on what they know, ask the store where something is missing, and after 1.2 s of silence. A router that has lost the store tells nothing. The configuration is still read by every router.

--- a/crates/relay/src/command.rs
+++ b/crates/relay/src/command.rs
@@ -5,6 +5,7 @@
     baobab_place::{Server, ServerId},
     baobab_routing::{Configuration, Confirmation},
     baobab_unit::Incarnation,
+    baobab_watch::Told,
     std::{net::SocketAddr, sync::Arc},
 };
 
@@ -44,6 +45,10 @@
     PeerStarted(PeerHost),
     /// One router has ended.
     PeerStopped(String),
+    /// Changes of a table were read, to be told to other routers.
+    TellTable(u8, Told),
+    /// A table can no longer be read.
+    StopTelling(u8),
     /// The deployment's bounds have changed.
     Bounds(Bounds),
     /// Ends the router without breaking off answers.
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -3,12 +3,13 @@
 use {
     crate::{
         dialect::Dialect,
-        gossip::Book,
+        gossip::{Book, Outbox},
         metrics::Metrics,
         overload::Overload,
         pool::Pool,
         settings::{Bounds, Settings},
         shared::Shared,
+        shared_tables::TABLES,
     },
     baobab_place::{Peers, Placer, Registry, RetryBudget, Shares},
     baobab_routing::{Configuration, Force, Standing},
@@ -59,6 +60,8 @@
     pub shares: RefCell<Shares>,
     /// The other routers.
     pub book: RefCell<Book>,
+    /// What is told of the store's tables.
+    pub outboxes: RefCell<[Outbox; TABLES]>,
     /// Connections to servers.
     pub pool: Pool,
     /// Metrics.
@@ -99,6 +102,7 @@
             placer: RefCell::new(placer),
             shares: RefCell::new(Shares::new(Duration::ZERO)),
             book: RefCell::new(Book::new(&settings.host)),
+            outboxes: RefCell::default(),
             pool: Pool::default(),
             metrics: Metrics::new(),
             room: Notify::new(),
--- a/crates/relay/src/gossip/book.rs
+++ b/crates/relay/src/gossip/book.rs
@@ -82,6 +82,16 @@
         self.entries.len() + 1
     }
 
+    /// Returns how many routers that are heard stand before this one, in an order that all agree
+    /// on.
+    #[must_use]
+    pub fn rank(&self, now: Duration) -> usize {
+        self.entries
+            .range(..self.own)
+            .filter(|(_, entry)| now.saturating_sub(entry.heard_at) <= QUIET_AFTER)
+            .count()
+    }
+
     /// Returns where to send news now: to every router that is heard, and now and then to those
     /// that are not.
     pub fn receivers(&mut self, now: Duration) -> Vec<SocketAddr> {
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -4,6 +4,7 @@
     baobab_place::{Claim, Load, Part, PeerReport, ServerKey},
     baobab_routing::RouteVersion,
     baobab_unit::{WorkspaceId, millis},
+    baobab_watch::{Change, Row, Told},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -17,6 +18,15 @@
     pub part: Part,
 }
 
+/// Changes of one of the store's tables.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ToldTable {
+    /// Number of the table, the same on all routers.
+    pub table: u8,
+    /// The changes.
+    pub told: Told,
+}
+
 /// What one datagram tells.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct News {
@@ -26,6 +36,8 @@
     pub parts: Vec<ToldPart>,
     /// Newest word of the store about the configuration.
     pub confirmed: Option<Confirmed>,
+    /// Changes of the store's tables.
+    pub tables: Vec<ToldTable>,
 }
 
 /// The store's word that a version was the newest one.
@@ -67,6 +79,21 @@
     claims: Vec<WireClaim>,
     parts: Vec<WirePart>,
     confirmed: Option<WireConfirmed>,
+    tables: Vec<WireTable>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireTable {
+    table: u8,
+    since: u64,
+    revision: u64,
+    changes: Vec<WireChange>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WireChange {
+    Written { key: String, content: Vec<u8> },
+    Removed { key: String },
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -83,6 +110,7 @@
             claims: news.report.claims.iter().map(WireClaim::from).collect(),
             parts: news.parts.iter().map(WirePart::from).collect(),
             confirmed: news.confirmed.map(WireConfirmed::from),
+            tables: news.tables.iter().map(WireTable::from).collect(),
         }
     }
 }
@@ -97,6 +125,7 @@
             },
             parts: wire.parts.into_iter().map(From::from).collect(),
             confirmed: wire.confirmed.map(Confirmed::from),
+            tables: wire.tables.into_iter().map(ToldTable::from).collect(),
         }
     }
 }
@@ -163,6 +192,52 @@
     }
 }
 
+impl From<&ToldTable> for WireTable {
+    fn from(table: &ToldTable) -> Self {
+        Self {
+            table: table.table,
+            since: table.told.since,
+            revision: table.told.revision,
+            changes: table.told.changes.iter().map(WireChange::from).collect(),
+        }
+    }
+}
+
+impl From<WireTable> for ToldTable {
+    fn from(wire: WireTable) -> Self {
+        let told = Told {
+            since: wire.since,
+            revision: wire.revision,
+            changes: wire.changes.into_iter().map(Change::from).collect(),
+        };
+        Self {
+            table: wire.table,
+            told,
+        }
+    }
+}
+
+impl From<&Change> for WireChange {
+    fn from(change: &Change) -> Self {
+        match change {
+            Change::Written(row) => Self::Written {
+                key: row.key.clone(),
+                content: row.content.clone(),
+            },
+            Change::Removed(key) => Self::Removed { key: key.clone() },
+        }
+    }
+}
+
+impl From<WireChange> for Change {
+    fn from(wire: WireChange) -> Self {
+        match wire {
+            WireChange::Written { key, content } => Self::Written(Row { key, content }),
+            WireChange::Removed { key } => Self::Removed(key),
+        }
+    }
+}
+
 impl From<&ToldPart> for WirePart {
     fn from(told: &ToldPart) -> Self {
         Self {
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -2,10 +2,12 @@
 
 mod book;
 mod message;
+mod outbox;
 mod seal;
 
 pub use {
     book::Book,
-    message::{Confirmed, News, ToldPart},
+    message::{Confirmed, News, ToldPart, ToldTable},
+    outbox::Outbox,
     seal::{PeerKey, SealError, Sender, seal},
 };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,16 +16,18 @@
 mod relay;
 mod settings;
 mod shared;
+mod shared_tables;
 mod ticker;
 
 pub use {
     command::{Command, PeerHost},
     dialect::{Dialect, Inbound, Malformed, Outbound, Verdict},
     error::RelayError,
-    gossip::PeerKey,
+    gossip::{Outbox, PeerKey},
     identity::Identity,
     overload::Overload,
     relay::{Handle, spawn},
     settings::{Bounds, Settings},
     shared::Shared,
+    shared_tables::{SharedTables, TableNeighbours},
 };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -168,6 +168,16 @@
             core.force.borrow_mut().set_lease(bounds.key_lease);
             *core.bounds.borrow_mut() = bounds;
         }
+        Command::TellTable(table, told) => {
+            if let Some(outbox) = core.outboxes.borrow_mut().get_mut(usize::from(table)) {
+                outbox.put(told, now);
+            }
+        }
+        Command::StopTelling(table) => {
+            if let Some(outbox) = core.outboxes.borrow_mut().get_mut(usize::from(table)) {
+                outbox.clear();
+            }
+        }
         Command::Stop => {}
     }
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the traffic thread and the control thread know together.
 
 use {
+    crate::shared_tables::SharedTables,
     baobab_watch::{Freshness, StoreClock},
     std::sync::Arc,
 };
@@ -12,4 +13,6 @@
     pub store_clock: Arc<StoreClock>,
     /// Age of the newest confirmation.
     pub freshness: Arc<Freshness>,
+    /// Changes of tables that routers tell each other.
+    pub tables: Arc<SharedTables>,
 }
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         core::Core,
-        gossip::{Confirmed, News, Sender, ToldPart, seal},
+        gossip::{Confirmed, News, Sender, ToldPart, ToldTable, seal},
         identity::Identity,
     },
     baobab_place::PeerReport,
@@ -27,6 +27,9 @@
 const CLAIMS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that each further router adds to it; claims are averages over two seconds.
 const CLAIMS_INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
+/// Time between two tellings of the store's tables: several in the time after which a router
+/// asks the store itself.
+const TABLES_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two sweeps of what is old.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest datagram that crosses every link whole.
@@ -64,6 +67,7 @@
     let mut whole = Due::every(WHOLE_INTERVAL);
     let mut shares = Due::every(SHARES_INTERVAL);
     let mut claims = Due::every(CLAIMS_INTERVAL);
+    let mut tables = Due::every(TABLES_INTERVAL);
     let mut sweep = Due::every(SWEEP_INTERVAL);
     loop {
         let peers = peers(&core);
@@ -79,9 +83,13 @@
         if sweep.is_due(now) {
             core.placer.borrow_mut().expire(now);
             core.pool.expire();
+            note_place(&core, now);
         }
         let mut news = news(&core, whole.is_due(now), claims.is_due(now));
         let confirmed = confirmed(&core);
+        if tables.is_due(now) {
+            news.tables = told_tables(&core, now);
+        }
         if confirmed != told {
             told = confirmed;
             news.confirmed = confirmed;
@@ -107,6 +115,25 @@
     u32::try_from(core.book.borrow().fleet_size() - 1).unwrap_or(u32::MAX)
 }
 
+/// Notes whether this router reads the store's tables for the others.
+fn note_place(core: &Core, now: Duration) {
+    let book = core.book.borrow();
+    core.shared
+        .tables
+        .set_place(book.rank(now), book.fleet_size());
+}
+
+fn told_tables(core: &Core, now: Duration) -> Vec<ToldTable> {
+    if core.shared.tables.is_hearer() {
+        return Vec::new();
+    }
+    let mut outboxes = core.outboxes.borrow_mut();
+    let numbered = (0..).zip(outboxes.iter_mut());
+    numbered
+        .filter_map(|(table, outbox)| outbox.take(now).map(|told| ToldTable { table, told }))
+        .collect()
+}
+
 fn note_delay(core: &Core, delay: Duration, now: Duration) {
     let mut overload = core.overload.borrow_mut();
     if overload.on_delay(delay, now) {
@@ -154,6 +181,7 @@
             .map(|(server, part)| ToldPart { server, part })
             .collect(),
         confirmed: None,
+        tables: Vec::new(),
     }
 }
 
@@ -219,6 +247,9 @@
                 for told in news.parts {
                     placer.on_told_part(told.server, told.part, now);
                 }
+                for table in news.tables {
+                    core.shared.tables.on_told(table, now);
+                }
                 if let Some(confirmed) = news.confirmed {
                     on_confirmed(&core, confirmed);
                 }
--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        Backoff, Changes, Listener, Revision, Source, SourceError, StoreClock, suspension_clock,
+        Backoff, Change, Changes, Listener, Neighbours, Revision, Source, SourceError, StoreClock,
+        Told, suspension_clock,
     },
     rand::Rng,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::Notify,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -42,6 +43,12 @@
 /// short ones notice its return early, long ones get through where it is slow.
 const SLOW_STORE_FACTOR: f64 = 1.5;
 
+/// Silence of the other routers after which the store is asked: they tell several times in it.
+const HEARING_PATIENCE: Duration = Duration::from_millis(1200);
+/// Longest wait before the store is asked for what the other routers have told only in part, so
+/// that not all ask at once.
+const LONGEST_GAP_WAIT: Duration = Duration::from_millis(300);
+
 /// Follows one table.
 pub struct Follower<S, L, R> {
     table: String,
@@ -55,6 +62,9 @@
     is_lost: bool,
     asks_at_once: bool,
     signals: Signals,
+    neighbours: Option<Box<dyn Neighbours>>,
+    /// Whether the other routers tell the changes.
+    is_told: bool,
 }
 
 impl<S: Source, L: Listener, R: Rng> Follower<S, L, R> {
@@ -79,9 +89,18 @@
             is_lost: false,
             asks_at_once: false,
             signals,
+            neighbours: None,
+            is_told: false,
         }
     }
 
+    /// Makes the follower tell its changes to other routers, or learn them from those.
+    #[must_use]
+    pub fn with_neighbours(mut self, neighbours: Box<dyn Neighbours>) -> Self {
+        self.neighbours = Some(neighbours);
+        self
+    }
+
     /// Follows the table until the task is dropped.
     pub async fn run(mut self) {
         loop {
@@ -89,8 +108,57 @@
         }
     }
 
-    /// Makes one call and tells the listener what came of it.
+    /// Learns the next changes from other routers, or makes one call, and tells the listener what
+    /// came of it.
     pub async fn step(&mut self) {
+        if self.is_told && !self.is_reader() && self.revision.is_some() {
+            return self.hear().await;
+        }
+        self.ask().await;
+        self.is_told = self
+            .neighbours
+            .as_mut()
+            .is_some_and(|neighbours| neighbours.has_heard());
+    }
+
+    fn is_reader(&self) -> bool {
+        self.neighbours
+            .as_ref()
+            .is_none_or(|neighbours| neighbours.is_reader())
+    }
+
+    async fn hear(&mut self) {
+        let Some(neighbours) = &mut self.neighbours else {
+            return;
+        };
+        match timeout(HEARING_PATIENCE, neighbours.hear()).await {
+            Ok(told) => self.on_told(told).await,
+            Err(_) => self.is_told = false,
+        }
+    }
+
+    /// Takes in what another router has read, where it follows on what is known.
+    async fn on_told(&mut self, told: Told) {
+        let known = self.revision.unwrap_or(0);
+        if told.since > known {
+            let wait = LONGEST_GAP_WAIT.mul_f64(self.random.random_range(0.0..1.0));
+            sleep(wait).await;
+            self.is_told = false;
+            self.asks_at_once = true;
+            return;
+        }
+        if told.revision <= known {
+            return;
+        }
+        for change in told.changes {
+            self.listener.on_change(change);
+        }
+        self.revision = Some(told.revision);
+        self.on_success();
+    }
+
+    /// Makes one call and tells the listener what came of it.
+    async fn ask(&mut self) {
         let interrupt = Rc::clone(&self.signals.interrupt);
         let began = Instant::now();
         let result = tokio::select! {
@@ -153,6 +221,7 @@
             .store_clock
             .observe(asked_at, listing.store_time);
         self.listener.on_listing(listing.rows);
+        self.tell(listing.revision, listing.revision, &[]);
         self.listener.on_current(asked_at, listing.store_time);
         Ok(false)
     }
@@ -176,6 +245,7 @@
         self.revision = Some(revision);
         self.signals.store_clock.observe(asked_at, store_time);
         let has_changed = !changes.is_empty();
+        self.tell(since, revision, &changes);
         for change in changes {
             self.listener.on_change(change);
         }
@@ -185,6 +255,19 @@
         Ok(has_changed)
     }
 
+    fn tell(&self, since: Revision, revision: Revision, changes: &[Change]) {
+        let Some(neighbours) = &self.neighbours else {
+            return;
+        };
+        if neighbours.is_reader() {
+            neighbours.tell(Told {
+                since,
+                revision,
+                changes: changes.to_vec(),
+            });
+        }
+    }
+
     fn on_success(&mut self) {
         self.backoff.reset();
         self.failures = 0;
@@ -203,6 +286,9 @@
         if !std::mem::replace(&mut self.is_lost, true) {
             self.listener.on_lost(error);
         }
+        if let Some(neighbours) = &self.neighbours {
+            neighbours.stop_telling();
+        }
         self.failures += 1;
         let rest = self.pace.retry_interval.saturating_sub(began.elapsed());
         let pause = self.backoff.next_pause(&mut self.random);
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod follower;
 mod freshness;
+mod neighbours;
 mod source;
 mod store_clock;
 
@@ -15,6 +16,7 @@
     error::SourceError,
     follower::{Follower, Pace, Signals},
     freshness::Freshness,
+    neighbours::{Hearing, Neighbours, Told},
     source::{Answer, Change, Changes, Listener, Listing, Revision, Row, Source},
     store_clock::StoreClock,
 };
