Split admission and room from choice and dispatch; one rank of a router

Change: place/admission.rs and forward/room.rs; the least objective is worked out when a configuration is decoded; the rank is that among the routers that are heard, which the tables use too, and roster.rs goes.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Ask, Crowding, Declined, Load, Placement, Placer, Prompt, Server, ServerKey, Standing,
+        Ask, Crowding, Declined, Placement, Placer, Prompt, Server, ServerKey,
         candidate::{Candidate, Obstacle, cheapest, homes},
     },
     std::time::Duration,
@@ -12,8 +12,8 @@
 const FETCH_COST: f64 = 1.0;
 /// Cost of each rank behind the first home of the shared parts, relative to reading them.
 const RANK_COST: f64 = 0.5;
-/// Share of the bound that may wait before a prompt that is large for it.
-const LARGE_QUEUE_SHARE: f64 = 0.25;
+/// Cost of a plain server whose slots are all taken, in milliseconds: about the work of a request.
+const FILLED_COST_MS: f64 = 20.0;
 /// Ranks that are told apart.
 const RANKS: usize = 3;
 /// Other routers from which on each looks at a few engines first: with fewer, news of load comes
@@ -115,7 +115,7 @@
                 let running = self.total_load(server.key).running;
                 let obstacle = (!self.has_connection(ask, server)).then_some(Obstacle::Slots);
                 let filled = running as f64 / f64::from(server.slots.max(1));
-                let cost_ms = filled * 20.0 + self.common_cost_ms(ask, server);
+                let cost_ms = filled * FILLED_COST_MS + self.common_cost_ms(ask, server);
                 Candidate {
                     server,
                     cost_ms,
@@ -197,65 +197,6 @@
         }
     }
 
-    fn obstacle(
-        &self,
-        ask: &Ask,
-        prompt: &Prompt,
-        server: &Server,
-        load: Load,
-        queue_ms: f64,
-        wait_ms: f64,
-    ) -> Option<Obstacle> {
-        let (time_share, slot_share) = match ask.standing {
-            Standing::Modest => (self.tuning.admit_share, self.tuning.slot_share),
-            Standing::WithinShare { unused } => {
-                let part = self.tuning.limited_part + (1.0 - self.tuning.limited_part) * unused;
-                (
-                    self.tuning.admit_share * part,
-                    self.tuning.slot_share * part,
-                )
-            }
-            Standing::Late => (self.tuning.spare_share, self.tuning.spare_slot_share),
-            Standing::BeyondShare { excess } => (
-                self.tuning.spare_share / excess,
-                self.tuning.spare_slot_share / excess,
-            ),
-        };
-        let bound_ms = millis(ask.objective) * time_share;
-        let queue_bound_ms = millis(ask.least_objective) * self.tuning.queue_share;
-        let leaves_room = ask.objective <= ask.least_objective || wait_ms <= queue_bound_ms;
-        let has_little_waiting = queue_ms <= queue_bound_ms * LARGE_QUEUE_SHARE;
-        // A prompt that takes longer than the bounds by its size alone goes where little waits.
-        let is_large = wait_ms - queue_ms > bound_ms;
-        let is_on_time = if is_large {
-            has_little_waiting
-        } else {
-            wait_ms <= bound_ms && (leaves_room || has_little_waiting)
-        };
-        let has_slot = (load.running as f64) < f64::from(server.slots) * slot_share
-            && self.has_connection(ask, server);
-        let memory_bound = ask.memory_tokens as f64 * self.tuning.memory_share;
-        let has_memory = ask.memory_tokens == 0
-            || (load.memory_tokens + prompt.memory_tokens()) as f64 <= memory_bound
-            || load.running == 0;
-        match (has_slot, has_memory, is_on_time) {
-            (false, _, _) => Some(Obstacle::Slots),
-            (_, false, _) => Some(Obstacle::Memory),
-            (_, _, false) => Some(Obstacle::Late),
-            (true, true, true) => None,
-        }
-    }
-
-    /// Tells whether the router may use another connection to the server.
-    fn has_connection(&self, ask: &Ask, server: &Server) -> bool {
-        let limits = self.connection_limits(server, ask.max_connections);
-        let own_running = self
-            .states
-            .get(&server.key)
-            .map_or(0, |state| state.load.running);
-        own_running < limits.busy as u64
-    }
-
     fn common_cost_ms(&self, ask: &Ask, server: &Server) -> f64 {
         let mut cost_ms = 0.0;
         if server.domain != ask.domain {
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions about backend servers: which one takes a request, whether any should, and who may
 //! repeat one. Nothing here touches a socket; every call is given the time.
 
+mod admission;
 mod ask;
 mod budget;
 mod cache;
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -66,7 +66,7 @@
         headers,
         body: RefCell::default(),
         max_connections: declared.map_or(u32::MAX, |service| service.max_connections),
-        least_objective: configuration.least_objective(&service),
+        least_objective: declared.map_or(Duration::MAX, |service| service.least_objective),
         engine: declared.and_then(|service| service.engine.clone()),
         route: route.clone(),
         service,
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -7,20 +7,17 @@
         job::Job,
         problem::{Problem, Reason},
         retry_after::{Load, retry_after},
+        room::{place, refund},
     },
     crate::core::Core,
-    baobab_place::{Crowding, Declined, Outcome, Placement, ServerKey, Standing},
+    baobab_place::{Outcome, Placement, ServerKey},
     baobab_routing::Repeat,
     baobab_unit::millis,
     bytes::{Bytes, BytesMut},
     http::{header::CONTENT_LENGTH, response},
     std::{future::poll_fn, rc::Rc, time::Duration},
-    tokio::time::{Instant, timeout_at},
 };
 
-/// Part of the objective for which a request may wait for room: beyond an eighth, waiting costs
-/// the caller more than an early refusal.
-const HOLD_SHARE: f64 = 0.115;
 /// Answers up to this size are read whole before they are passed on, so that another server can
 /// be asked where they break off.
 const WHOLE_BYTES: u64 = 256 * 1024;
@@ -30,9 +27,6 @@
 const STALL_OBJECTIVES: f64 = 2.0;
 /// Times the foretold first event after which a silent engine is given up.
 const STALL_FORETOLD: f64 = 3.0;
-/// When to come back where no server can be used: about the time between two announcements.
-const NO_SERVER_PAUSE: Duration = Duration::from_millis(700);
-
 /// What has been tried for a request.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -106,93 +100,6 @@
     }
 }
 
-/// Chooses a server, waiting a little for room.
-async fn place(core: &Rc<Core>, job: &Job, attempts: &Attempts) -> Result<Placement, Problem> {
-    let hold_until = job.arrived + job.route.objective.mul_f64(HOLD_SHARE);
-    loop {
-        let standing = standing(core, job);
-        let ask = job.ask(&core.settings.domain, &attempts.tried, standing);
-        let result = core.placer.borrow().place(&ask, core.now());
-        match result {
-            Ok(placement) => {
-                charge(core, job, standing);
-                return Ok(placement);
-            }
-            Err(Declined::NoServer) => {
-                let pause = retry_after(
-                    Load::Passing(NO_SERVER_PAUSE),
-                    job.time_left(),
-                    core.fraction(),
-                );
-                return Err(Problem::later(Reason::NoServer, pause));
-            }
-            Err(Declined::Busy(crowding)) => {
-                if Instant::now() >= hold_until {
-                    return Err(refusal(core, job, standing, crowding));
-                }
-                let _ = timeout_at(hold_until, core.room.notified()).await;
-            }
-        }
-    }
-}
-
-fn standing(core: &Core, job: &Job) -> Standing {
-    let standing = match &job.caller {
-        Some(caller) => core.shares.borrow().standing(caller.workspace),
-        None => Standing::Modest,
-    };
-    if job.is_late && !standing.is_beyond_share() {
-        return Standing::Late;
-    }
-    standing
-}
-
-/// Charges a request to its workspace, once however often it is sent.
-fn charge(core: &Core, job: &Job, standing: Standing) {
-    let Some(caller) = &job.caller else {
-        return;
-    };
-    if job.charged_as.get().is_none() {
-        core.shares
-            .borrow_mut()
-            .charge(caller.workspace, job.claim_tokens(), standing);
-        job.charged_as.set(Some(standing));
-    }
-}
-
-/// Gives back what was charged for a request that has not run. Servers that went away together
-/// would otherwise look like ones that serve more than ever.
-fn refund(core: &Core, job: &Job) {
-    if let (Some(caller), Some(standing)) = (&job.caller, job.charged_as.take()) {
-        core.shares
-            .borrow_mut()
-            .refund(caller.workspace, job.claim_tokens(), standing);
-    }
-}
-
-fn refusal(core: &Core, job: &Job, standing: Standing, crowding: Crowding) -> Problem {
-    log::info!(
-        id = job.id.as_str(),
-        workspace = job.workspace_name(),
-        claim_tokens = job.claim_tokens(),
-        standing:? = standing,
-        least_queue_ms = millis(crowding.least_queue),
-        late = crowding.late,
-        full = crowding.full,
-        out_of_memory = crowding.out_of_memory,
-        time_left_ms = millis(job.time_left()),
-        objective_ms = millis(job.route.objective);
-        "no engine would answer on time"
-    );
-    let room_in = crowding.room_in;
-    let (reason, load) = if standing.is_beyond_share() {
-        (Reason::OverShare, Load::OverShare)
-    } else {
-        (Reason::Busy, Load::Busy { room_in })
-    };
-    Problem::later(reason, retry_after(load, job.time_left(), core.fraction()))
-}
-
 /// Returns how long a server may be silent before another one is asked instead.
 fn stall(job: &Job, attempts: &Attempts, placement: &Placement) -> Option<Duration> {
     let has_another = attempts.sent + 1 < job.route.max_attempts;
--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod problem;
 mod retry_after;
+mod room;
 mod stream;
 
 pub use {
--- a/crates/relay/src/shared_tables.rs
+++ b/crates/relay/src/shared_tables.rs
@@ -8,7 +8,7 @@
         future::pending,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
         time::Duration,
     },
@@ -51,6 +51,7 @@
 pub struct SharedTables {
     heard: [Heard; TABLES],
     is_hearer: AtomicBool,
+    rank: AtomicU32,
 }
 
 impl SharedTables {
@@ -58,6 +59,14 @@
     pub fn set_place(&self, rank: usize, fleet_size: usize) {
         let is_hearer = fleet_size >= LEAST_FLEET && rank >= READERS;
         self.is_hearer.store(is_hearer, Ordering::Relaxed);
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        self.rank.store(rank, Ordering::Relaxed);
+    }
+
+    /// Returns how many routers that are heard stand before this one.
+    #[must_use]
+    pub fn rank(&self) -> u32 {
+        self.rank.load(Ordering::Relaxed)
     }
 
     /// Tells whether this router learns the tables from others.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,7 +10,7 @@
     force::{Force, Standing},
     model::{
         Configuration, EngineTraits, Limits, Repeat, Route, RouteVersion, Service, ServiceName,
-        Target, Workspace,
+        Target, Workspace, least_objective,
     },
     path::find_route,
 };
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -90,6 +90,8 @@
     pub max_connections: u32,
     /// Set where the servers are model engines.
     pub engine: Option<EngineTraits>,
+    /// Least objective of the routes whose requests it takes.
+    pub least_objective: Duration,
 }
 
 /// Bounds on what callers send.
@@ -131,15 +133,13 @@
     pub keys: Option<BTreeMap<String, Workspace>>,
 }
 
-impl Configuration {
-    /// Returns the least objective of the routes that a service takes requests of.
-    #[must_use]
-    pub fn least_objective(&self, service: &str) -> Duration {
-        self.routes
-            .iter()
-            .filter(|route| route.targets.iter().any(|target| target.service == service))
-            .map(|route| route.objective)
-            .min()
-            .unwrap_or(Duration::MAX)
-    }
+/// Returns the least objective of the routes whose requests a service takes.
+#[must_use]
+pub fn least_objective(routes: &[Route], service: &str) -> Duration {
+    routes
+        .iter()
+        .filter(|route| route.targets.iter().any(|target| target.service == service))
+        .map(|route| route.objective)
+        .min()
+        .unwrap_or(Duration::MAX)
 }
