--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
-        Backoff, Change, Changes, Listener, Neighbours, Revision, Source, SourceError, StoreClock,
-        Told, suspension_clock,
+        Backoff, Changes, Listener, Neighbours, Revision, Source, SourceError, StoreClock,
+        suspension_clock,
     },
     rand::Rng,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::Notify,
-        time::{Instant, sleep, timeout},
+        time::{Instant, sleep},
     },
 };
 
@@ -43,28 +43,22 @@
 /// short ones notice its return early, long ones get through where it is slow.
 const SLOW_STORE_FACTOR: f64 = 1.5;
 
-/// Silence of the other routers after which the store is asked: they tell several times in it.
-const HEARING_PATIENCE: Duration = Duration::from_millis(1200);
-/// Longest wait before the store is asked for what the other routers have told only in part, so
-/// that not all ask at once.
-const LONGEST_GAP_WAIT: Duration = Duration::from_millis(300);
-
 /// Follows one table.
 pub struct Follower<S, L, R> {
-    table: String,
+    pub(crate) table: String,
     source: S,
-    listener: L,
-    random: R,
+    pub(crate) listener: L,
+    pub(crate) random: R,
     pace: Pace,
-    revision: Option<Revision>,
+    pub(crate) revision: Option<Revision>,
     backoff: Backoff,
     failures: u32,
     is_lost: bool,
-    asks_at_once: bool,
+    pub(crate) asks_at_once: bool,
     signals: Signals,
-    neighbours: Option<Box<dyn Neighbours>>,
+    pub(crate) neighbours: Option<Box<dyn Neighbours>>,
     /// Whether the other routers tell the changes.
-    is_told: bool,
+    pub(crate) is_told: bool,
 }
 
 impl<S: Source, L: Listener, R: Rng> Follower<S, L, R> {
@@ -121,42 +115,6 @@
             .is_some_and(|neighbours| neighbours.has_heard());
     }
 
-    fn is_reader(&self) -> bool {
-        self.neighbours
-            .as_ref()
-            .is_none_or(|neighbours| neighbours.is_reader())
-    }
-
-    async fn hear(&mut self) {
-        let Some(neighbours) = &mut self.neighbours else {
-            return;
-        };
-        match timeout(HEARING_PATIENCE, neighbours.hear()).await {
-            Ok(told) => self.on_told(told).await,
-            Err(_) => self.is_told = false,
-        }
-    }
-
-    /// Takes in what another router has read, where it follows on what is known.
-    async fn on_told(&mut self, told: Told) {
-        let known = self.revision.unwrap_or(0);
-        if told.since > known {
-            let wait = LONGEST_GAP_WAIT.mul_f64(self.random.random_range(0.0..1.0));
-            sleep(wait).await;
-            self.is_told = false;
-            self.asks_at_once = true;
-            return;
-        }
-        if told.revision <= known {
-            return;
-        }
-        for change in told.changes {
-            self.listener.on_change(change);
-        }
-        self.revision = Some(told.revision);
-        self.on_success();
-    }
-
     /// Makes one call and tells the listener what came of it.
     async fn ask(&mut self) {
         let interrupt = Rc::clone(&self.signals.interrupt);
@@ -255,20 +213,7 @@
         Ok(has_changed)
     }
 
-    fn tell(&self, since: Revision, revision: Revision, changes: &[Change]) {
-        let Some(neighbours) = &self.neighbours else {
-            return;
-        };
-        if neighbours.is_reader() {
-            neighbours.tell(Told {
-                since,
-                revision,
-                changes: changes.to_vec(),
-            });
-        }
-    }
-
-    fn on_success(&mut self) {
+    pub(crate) fn on_success(&mut self) {
         self.backoff.reset();
         self.failures = 0;
         self.asks_at_once = false;
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 mod follower;
 mod freshness;
+mod hearing;
 mod neighbours;
 mod source;
 mod store_clock;
