Name the traits of the store after what they are

Cause: crates/platform (traits of table and object store) and platform/ (the adapter) were two rooms of one name. Change: crates/store, StoreError, HttpStore, MemoryStore; no logic is touched.

--- a/bin/ctl/src/audit.rs
+++ b/bin/ctl/src/audit.rs
@@ -4,7 +4,7 @@
     crate::{args::AuditArgs, cli::Outcome},
     baobab_audit::audit_key,
     baobab_conf::load_router_conf,
-    baobab_platform::HttpPlatform,
+    baobab_store::HttpStore,
     std::time::Duration,
 };
 
@@ -13,7 +13,7 @@
 /// Verifies the chains and prints what they say of a request.
 pub fn verify(args: &AuditArgs) -> Outcome {
     let conf = load_router_conf(&args.conf)?;
-    let platform = HttpPlatform::open(args.platform, TIMEOUT);
+    let platform = HttpStore::open(args.platform, TIMEOUT);
     let prefix = if args.host.is_empty() {
         "audit/".to_owned()
     } else {
--- a/bin/ctl/src/declarations.rs
+++ b/bin/ctl/src/declarations.rs
@@ -6,7 +6,7 @@
         cli::Outcome,
     },
     baobab_conf::declarations::{apply_text, changed_lines, parse_declarations, read_in_force},
-    baobab_platform::HttpPlatform,
+    baobab_store::HttpStore,
     std::{error::Error, net::SocketAddr, path::Path, time::Duration},
 };
 
@@ -55,8 +55,8 @@
     }
 }
 
-fn platform(address: SocketAddr) -> HttpPlatform {
-    HttpPlatform::open(address, TIMEOUT)
+fn platform(address: SocketAddr) -> HttpStore {
+    HttpStore::open(address, TIMEOUT)
 }
 
 fn read_checked(path: &Path) -> Result<String, Box<dyn Error>> {
--- a/bin/router/tests/orders.rs
+++ b/bin/router/tests/orders.rs
@@ -28,7 +28,7 @@
         last(&site).is_some_and(|order| order.version == "v1")
     });
     let first = last(&site).expect("it was ordered");
-    let lease = baobab_platform::Table::read(site.platform.state().as_ref(), "orders/lease");
+    let lease = baobab_store::Table::read(site.platform.state().as_ref(), "orders/lease");
     let row = lease
         .expect("the platform works")
         .expect("somebody holds it");
--- a/bin/router/tests/promises.rs
+++ b/bin/router/tests/promises.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    baobab_platform::Faults,
+    baobab_store::Faults,
     baobab_wire::{Codec, Heartbeat, Message, Packet},
     rustix::process::Signal,
     std::{
--- a/bin/router/tests/support/mod.rs
+++ b/bin/router/tests/support/mod.rs
@@ -5,13 +5,13 @@
 use {
     attohttpc::{Method, RequestBuilder, Response},
     baobab_conf::declarations::apply_text,
-    baobab_platform::{HostEntry, HostState},
     baobab_standin::{
         engine::{EngineConf, EngineServer},
         platform::PlatformServer,
         service::ServiceServer,
         text::{Generator, prompt_with_length},
     },
+    baobab_store::{HostEntry, HostState},
     rustix::process::{Pid, Signal, kill_process},
     std::{
         fmt::Write,
--- a/crates/audit/src/journal.rs
+++ b/crates/audit/src/journal.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{AuditKey, Batch, Decision, Entry, batch::digest},
-    baobab_platform::{Objects, PlatformError},
+    baobab_store::{Objects, StoreError},
     baobab_unit::to_u64,
 };
 
@@ -73,7 +73,7 @@
     /// # Errors
     ///
     /// Fails where the store gives no answer; the records are kept.
-    pub fn flush(&mut self, objects: &dyn Objects, closing: bool) -> Result<(), PlatformError> {
+    pub fn flush(&mut self, objects: &dyn Objects, closing: bool) -> Result<(), StoreError> {
         if let Some(batch) = self.unconfirmed.take() {
             self.write(objects, batch)?;
         }
@@ -114,7 +114,7 @@
         }
     }
 
-    fn write(&mut self, objects: &dyn Objects, batch: Batch) -> Result<(), PlatformError> {
+    fn write(&mut self, objects: &dyn Objects, batch: Batch) -> Result<(), StoreError> {
         let bytes = batch.encode(&self.key);
         if let Err(error) = objects.put(&batch.object_key(), &bytes) {
             self.unconfirmed = Some(batch);
--- a/crates/audit/src/verify.rs
+++ b/crates/audit/src/verify.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{AuditKey, Batch, Entry},
-    baobab_platform::{Objects, PlatformError},
+    baobab_store::{Objects, StoreError},
     std::fmt,
 };
 
@@ -53,7 +53,7 @@
     objects: &dyn Objects,
     key: &AuditKey,
     prefix: &str,
-) -> Result<AuditReport, PlatformError> {
+) -> Result<AuditReport, StoreError> {
     let mut report = AuditReport::default();
     let mut chain = Chain::default();
     for object in objects.list(prefix)? {
--- a/crates/audit/tests/chain.rs
+++ b/crates/audit/tests/chain.rs
@@ -2,12 +2,12 @@
 
 use {
     baobab_audit::{Decision, Journal, audit_key, verify},
-    baobab_platform::{Faults, MemoryPlatform, Objects},
+    baobab_store::{Faults, MemoryStore, Objects},
 };
 
 const BATCHES: u64 = 4;
 
-type Tamper = fn(&MemoryPlatform);
+type Tamper = fn(&MemoryStore);
 
 fn decision(number: u64) -> Decision {
     Decision::Granted {
@@ -20,8 +20,8 @@
     audit_key(&[7; 32])
 }
 
-fn store() -> MemoryPlatform {
-    let platform = MemoryPlatform::default();
+fn store() -> MemoryStore {
+    let platform = MemoryStore::default();
     let mut journal = Journal::open(key(), "host-a", 5);
     for number in 0..BATCHES {
         journal.add(number, decision(number));
@@ -31,7 +31,7 @@
     platform
 }
 
-fn object(platform: &MemoryPlatform, index: usize) -> String {
+fn object(platform: &MemoryStore, index: usize) -> String {
     platform.list("audit/").expect("the store works")[index].clone()
 }
 
@@ -104,7 +104,7 @@
 
 #[test]
 fn an_outage_delays_records_and_a_long_one_counts_what_is_dropped() {
-    let platform = MemoryPlatform::default();
+    let platform = MemoryStore::default();
     let mut journal = Journal::open(key(), "host-a", 5);
     platform.set_faults(Faults {
         down: true,
@@ -122,7 +122,7 @@
     assert_eq!(report.dropped, 10_000);
 }
 
-fn read(platform: &MemoryPlatform, name: &str) -> String {
+fn read(platform: &MemoryStore, name: &str) -> String {
     let bytes = platform.get(name).expect("the store works");
     String::from_utf8(bytes.expect("it is there")).expect("it is text")
 }
--- a/crates/conf/src/declarations/apply.rs
+++ b/crates/conf/src/declarations/apply.rs
@@ -5,7 +5,7 @@
         digest_of,
         head::{Head, object_key},
     },
-    baobab_platform::{Insert, Inserted, Platform, PlatformError, Replace, Replaced, Row},
+    baobab_store::{Insert, Inserted, Platform, Replace, Replaced, Row, StoreError},
     quick_error::quick_error,
     std::time::{SystemTime, UNIX_EPOCH},
 };
@@ -20,12 +20,12 @@
                      look at its changes and apply again")
         }
         /// The platform refused; nothing was applied.
-        Platform(error: PlatformError) {
+        Platform(error: StoreError) {
             display("nothing was applied: {error}")
             from()
         }
         /// It is not known whether the file was applied.
-        Unknown(error: PlatformError) {
+        Unknown(error: StoreError) {
             display("it is not known whether the file was applied ({error}); \
                      'baobabctl show' tells once the platform answers")
         }
@@ -93,7 +93,7 @@
     };
     platform.put(&object_key(&head.digest), text.as_bytes())?;
     match write_head(platform, &head, expected_version) {
-        Err(ApplyError::Platform(error @ PlatformError::ReplyLost(_))) => {
+        Err(ApplyError::Platform(error @ StoreError::ReplyLost(_))) => {
             read_back(platform, &head, error)
         }
         other => other,
@@ -141,11 +141,7 @@
 }
 
 /// Finds out whether a write whose reply was lost has taken effect.
-fn read_back(
-    platform: &dyn Platform,
-    head: &Head,
-    error: PlatformError,
-) -> Result<u64, ApplyError> {
+fn read_back(platform: &dyn Platform, head: &Head, error: StoreError) -> Result<u64, ApplyError> {
     match platform.read(Head::ROW_KEY) {
         Ok(Some(row)) if parse_head(&row).as_ref() == Ok(head) => Ok(row.version),
         // A lost write may still be on its way, and another file may have replaced this one.
--- a/crates/conf/tests/apply.rs
+++ b/crates/conf/tests/apply.rs
@@ -2,7 +2,7 @@
 
 use {
     baobab_conf::declarations::{ApplyError, apply_text, changed_lines, read_in_force},
-    baobab_platform::{Faults, MemoryPlatform},
+    baobab_store::{Faults, MemoryStore},
     std::{
         sync::{Arc, Barrier},
         thread,
@@ -12,7 +12,7 @@
 #[test]
 fn of_two_operators_at_the_same_moment_one_wins_and_the_other_is_told() {
     for round in 0..100 {
-        let platform = Arc::new(MemoryPlatform::default());
+        let platform = Arc::new(MemoryStore::default());
         apply_text(platform.as_ref(), "[fleet]\n", "setup", None).expect("nobody else applies");
         let barrier = Arc::new(Barrier::new(2));
         let threads: Vec<_> = ["ana", "bo"]
@@ -87,7 +87,7 @@
         },
     ];
     for case in cases {
-        let platform = MemoryPlatform::default();
+        let platform = MemoryStore::default();
         apply_text(&platform, "[fleet]\n", "setup", None).expect("the platform works");
         platform.set_faults(case.faults);
         let result = apply_text(&platform, "[fleet]\n# two\n", "ana", None);
--- a/crates/entry/src/config/watcher.rs
+++ b/crates/entry/src/config/watcher.rs
@@ -5,7 +5,7 @@
     crate::{context::AppContext, control::Command},
     baobab_audit::Decision,
     baobab_conf::declarations::{Head, digest_of, object_key, parse_declarations},
-    baobab_platform::PlatformError,
+    baobab_store::StoreError,
     flume::{Receiver, Sender},
     std::{io::Result, sync::Arc, thread},
 };
@@ -57,7 +57,7 @@
     }
 }
 
-fn read_head(context: &AppContext) -> std::result::Result<(), PlatformError> {
+fn read_head(context: &AppContext) -> std::result::Result<(), StoreError> {
     let Some(row) = context.platform.read(Head::ROW_KEY)? else {
         return Ok(());
     };
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -4,7 +4,7 @@
     crate::{config::ConfigCell, control::Command, journal::AuditLog, metrics::Metrics},
     baobab_conf::RouterConf,
     baobab_engine::{EngineClient, OrderClient, ServiceClient},
-    baobab_platform::Platform,
+    baobab_store::Platform,
     baobab_unit::{Clock, Incarnation},
     flume::Sender,
     std::{
--- a/crates/entry/src/control/command.rs
+++ b/crates/entry/src/control/command.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::config::InForce,
-    baobab_platform::HostEntry,
+    baobab_store::HostEntry,
     baobab_unit::{ModelId, Token, WorkspaceId},
     baobab_wire::Packet,
     flume::Sender,
--- a/crates/entry/src/control/thread.rs
+++ b/crates/entry/src/control/thread.rs
@@ -10,7 +10,7 @@
         context::AppContext,
     },
     baobab_fleet::{Member, Membership},
-    baobab_platform::{HostEntry, HostState},
+    baobab_store::{HostEntry, HostState},
     baobab_unit::{DomainId, HostId, PoolId, id_of},
     baobab_wire::{Heartbeat, Message, Packet},
     flume::{Receiver, RecvTimeoutError},
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -3,7 +3,7 @@
 use {
     crate::metrics::Metrics,
     baobab_audit::{Decision, Journal, JournalStatus},
-    baobab_platform::Platform,
+    baobab_store::Platform,
     flume::{Receiver, RecvTimeoutError, Sender},
     std::{
         io::Result,
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -14,7 +14,7 @@
     baobab_audit::{Journal, audit_key},
     baobab_conf::RouterConf,
     baobab_engine::HttpBackend,
-    baobab_platform::{HttpPlatform, Platform},
+    baobab_store::{HttpStore, Platform},
     baobab_unit::id_of,
     baobab_web::{Limits, Server},
     baobab_wire::Codec,
@@ -66,7 +66,7 @@
     pub fn spawn(conf: RouterConf) -> Result<Self, RouterError> {
         let incarnation = now_ms();
         let metrics = Metrics::open().map_err(|error| RouterError::Metrics(error.to_string()))?;
-        let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::open(
+        let platform: Arc<dyn Platform> = Arc::new(HttpStore::open(
             conf.platform_address,
             conf.platform_timeout,
         ));
--- a/crates/once/src/attempt.rs
+++ b/crates/once/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Answer, Record, RecordState},
-    baobab_platform::{Insert, Inserted, PlatformError, Replace, Replaced, Row},
+    baobab_store::{Insert, Inserted, Replace, Replaced, Row, StoreError},
 };
 
 /// What came of sending the request to the service.
@@ -61,11 +61,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
     /// Of an insert.
-    Inserted(Result<Inserted, PlatformError>),
+    Inserted(Result<Inserted, StoreError>),
     /// Of a read.
-    Read(Result<Option<Row>, PlatformError>),
+    Read(Result<Option<Row>, StoreError>),
     /// Of a replace.
-    Replaced(Result<Replaced, PlatformError>),
+    Replaced(Result<Replaced, StoreError>),
     /// Of sending.
     Sent(Sent),
 }
@@ -127,16 +127,16 @@
         }
     }
 
-    fn on_inserted(&mut self, result: Result<Inserted, PlatformError>) -> Step {
+    fn on_inserted(&mut self, result: Result<Inserted, StoreError>) -> Step {
         match result {
             Ok(Inserted::Done) => self.send(1),
             Ok(Inserted::Exists(row)) => self.judge(&row),
-            Err(PlatformError::Unavailable(_)) => self.not_run(),
-            Err(PlatformError::ReplyLost(_)) => self.read_back(),
+            Err(StoreError::Unavailable(_)) => self.not_run(),
+            Err(StoreError::ReplyLost(_)) => self.read_back(),
         }
     }
 
-    fn on_read_back(&mut self, result: Result<Option<Row>, PlatformError>) -> Step {
+    fn on_read_back(&mut self, result: Result<Option<Row>, StoreError>) -> Step {
         match result {
             Ok(Some(row)) if self.is_own_start(&row) => self.send(row.version),
             Ok(Some(row)) => self.judge(&row),
@@ -144,12 +144,12 @@
         }
     }
 
-    fn on_claimed(&mut self, result: Result<Replaced, PlatformError>) -> Step {
+    fn on_claimed(&mut self, result: Result<Replaced, StoreError>) -> Step {
         match result {
             Ok(Replaced::Done(version)) => self.send(version),
             Ok(Replaced::Conflict(Some(row))) => self.judge(&row),
-            Ok(Replaced::Conflict(None)) | Err(PlatformError::Unavailable(_)) => self.not_run(),
-            Err(PlatformError::ReplyLost(_)) => self.read_back(),
+            Ok(Replaced::Conflict(None)) | Err(StoreError::Unavailable(_)) => self.not_run(),
+            Err(StoreError::ReplyLost(_)) => self.read_back(),
         }
     }
 
--- a/crates/once/src/runner.rs
+++ b/crates/once/src/runner.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{Attempt, Event, Sent, Step, Verdict},
-    baobab_platform::Table,
+    baobab_store::Table,
 };
 
 /// The way to the service.
--- a/crates/once/tests/cases.rs
+++ b/crates/once/tests/cases.rs
@@ -2,7 +2,7 @@
 
 use {
     baobab_once::{Answer, NotRunReason, Sender, Sent, Verdict, run},
-    baobab_platform::{Faults, MemoryPlatform},
+    baobab_store::{Faults, MemoryStore},
     std::{
         sync::{Arc, Barrier},
         thread,
@@ -115,14 +115,14 @@
     ]
 }
 
-fn attempt(platform: &MemoryPlatform, digest: &str, token: &str, sender: &mut Counting) -> Verdict {
+fn attempt(platform: &MemoryStore, digest: &str, token: &str, sender: &mut Counting) -> Verdict {
     run(platform, "k".into(), digest.into(), token.into(), sender)
 }
 
 #[test]
 fn what_callers_are_told() {
     for case in cases() {
-        let platform = MemoryPlatform::default();
+        let platform = MemoryStore::default();
         platform.set_faults(case.faults);
         let mut sender = Counting {
             sent: 0,
@@ -143,7 +143,7 @@
 }
 
 /// A service during whose answer the platform goes down.
-struct Failing<'a>(&'a MemoryPlatform);
+struct Failing<'a>(&'a MemoryStore);
 impl Sender for Failing<'_> {
     fn send(&mut self) -> Sent {
         self.0.set_faults(Faults {
@@ -156,7 +156,7 @@
 
 #[test]
 fn the_record_of_the_answer_is_lost() {
-    let platform = MemoryPlatform::default();
+    let platform = MemoryStore::default();
     let verdict = run(
         &platform,
         "k".into(),
@@ -176,7 +176,7 @@
 
 #[test]
 fn the_same_key_with_another_body_is_a_conflict() {
-    let platform = MemoryPlatform::default();
+    let platform = MemoryStore::default();
     let mut sender = Counting {
         sent: 0,
         outcome: Sent::Answered(answer(10)),
@@ -192,7 +192,7 @@
 #[test]
 fn the_same_key_at_two_routers_at_once_a_hundred_times() {
     for round in 0..100 {
-        let platform = Arc::new(MemoryPlatform::default());
+        let platform = Arc::new(MemoryStore::default());
         let barrier = Arc::new(Barrier::new(2));
         let threads: Vec<_> = (0..2)
             .map(|router| {
--- a/crates/once/tests/interleavings.rs
+++ b/crates/once/tests/interleavings.rs
@@ -6,9 +6,7 @@
 
 use {
     baobab_once::{Answer, Attempt, Event, Sent, Step, Verdict},
-    baobab_platform::{
-        Insert, Inserted, MemoryPlatform, PlatformError, Replace, Replaced, Row, Table,
-    },
+    baobab_store::{Insert, Inserted, MemoryStore, Replace, Replaced, Row, StoreError, Table},
     std::collections::BTreeMap,
 };
 
@@ -68,12 +66,12 @@
     not_run: u64,
 }
 
-fn unavailable() -> PlatformError {
-    PlatformError::Unavailable("down".into())
+fn unavailable() -> StoreError {
+    StoreError::Unavailable("down".into())
 }
 
-fn lost() -> PlatformError {
-    PlatformError::ReplyLost("lost".into())
+fn lost() -> StoreError {
+    StoreError::ReplyLost("lost".into())
 }
 
 fn answer() -> Answer {
@@ -233,7 +231,7 @@
 /// A request that was not sent may be sent by a later attempt, under the same key.
 #[test]
 fn a_released_key_can_be_used_again() {
-    let table = MemoryPlatform::default();
+    let table = MemoryStore::default();
     let first = run(&table, "one", Sent::NotSent);
     assert!(matches!(first, Verdict::NotRun(_)));
     let second = run(&table, "two", Sent::Answered(answer()));
--- a/crates/orders/src/lease.rs
+++ b/crates/orders/src/lease.rs
@@ -1,7 +1,7 @@
 //! The lease on giving orders, as a state machine that trusts no other host's clock.
 
 use {
-    baobab_platform::{Insert, Inserted, PlatformError, Replace, Replaced, Row},
+    baobab_store::{Insert, Inserted, Replace, Replaced, Row, StoreError},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -43,11 +43,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseEvent {
     /// Of a read.
-    Read(Result<Option<Row>, PlatformError>),
+    Read(Result<Option<Row>, StoreError>),
     /// Of an insert.
-    Inserted(Result<Inserted, PlatformError>),
+    Inserted(Result<Inserted, StoreError>),
     /// Of a replace.
-    Replaced(Result<Replaced, PlatformError>),
+    Replaced(Result<Replaced, StoreError>),
 }
 
 #[derive(Debug, Clone)]
--- a/crates/orders/tests/lease.rs
+++ b/crates/orders/tests/lease.rs
@@ -2,7 +2,7 @@
 
 use {
     baobab_orders::{EngineTarget, Lease, LeaseEvent, LeaseStep, Plan},
-    baobab_platform::{Faults, MemoryPlatform, Table},
+    baobab_store::{Faults, MemoryStore, Table},
     std::time::Duration,
 };
 
@@ -11,7 +11,7 @@
 }
 
 /// Makes all calls that are due.
-fn run(lease: &mut Lease, platform: &MemoryPlatform, now: Duration) {
+fn run(lease: &mut Lease, platform: &MemoryStore, now: Duration) {
     let mut step = lease.step(now);
     while let Some(call) = step {
         let event = match call {
@@ -25,7 +25,7 @@
 
 #[test]
 fn one_host_holds_and_renews() {
-    let platform = MemoryPlatform::default();
+    let platform = MemoryStore::default();
     let mut one = Lease::start("one".into());
     let mut other = Lease::start("other".into());
     for second in 0..60 {
@@ -38,7 +38,7 @@
 
 #[test]
 fn a_holder_that_sleeps_has_stopped_before_another_takes_over() {
-    let platform = MemoryPlatform::default();
+    let platform = MemoryStore::default();
     let mut sleeper = Lease::start("sleeper".into());
     let mut other = Lease::start("other".into());
     run(&mut sleeper, &platform, seconds(0));
@@ -79,7 +79,7 @@
     ];
     for (case, fault) in faults.into_iter().enumerate() {
         for at in 0..20 {
-            let platform = MemoryPlatform::default();
+            let platform = MemoryStore::default();
             let mut hosts = [Lease::start("a".into()), Lease::start("b".into())];
             for second in 0..90 {
                 if second == at {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,9 +2,7 @@
 
 use {
     crate::StandinError,
-    baobab_platform::{
-        Call, Faults, HostEntry, HostList, MemoryPlatform, Objects, PlatformError, Table,
-    },
+    baobab_store::{Call, Faults, HostEntry, HostList, MemoryStore, Objects, StoreError, Table},
     rouille::{Request, Response, Server},
     serde::Serialize,
     std::{io::Read, net::SocketAddr, sync::Arc, thread, time::Duration},
@@ -18,7 +16,7 @@
 /// A running platform.
 pub struct PlatformServer {
     address: SocketAddr,
-    state: Arc<MemoryPlatform>,
+    state: Arc<MemoryStore>,
 }
 
 impl PlatformServer {
@@ -28,7 +26,7 @@
     ///
     /// Fails where its address can't be bound.
     pub fn spawn(address: SocketAddr) -> Result<Self, StandinError> {
-        let state: Arc<MemoryPlatform> = Arc::default();
+        let state: Arc<MemoryStore> = Arc::default();
         let shared = Arc::clone(&state);
         let server = Server::new(address, move |request| answer(&shared, request))
             .map_err(|error| StandinError::Bind(address, error.to_string()))?
@@ -46,12 +44,12 @@
 
     /// Returns its state.
     #[must_use]
-    pub fn state(&self) -> &Arc<MemoryPlatform> {
+    pub fn state(&self) -> &Arc<MemoryStore> {
         &self.state
     }
 }
 
-fn answer(state: &MemoryPlatform, request: &Request) -> Response {
+fn answer(state: &MemoryStore, request: &Request) -> Response {
     let url = request.url();
     let body = read_body(request);
     match (request.method(), url.as_str()) {
@@ -76,7 +74,7 @@
     }
 }
 
-fn objects(state: &MemoryPlatform, method: &str, path: &str, body: &[u8]) -> Response {
+fn objects(state: &MemoryStore, method: &str, path: &str, body: &[u8]) -> Response {
     if let Some(prefix) = path.strip_prefix("/list/") {
         return reply(state.list(prefix));
     }
@@ -93,7 +91,7 @@
     }
 }
 
-fn table(state: &MemoryPlatform, body: &[u8]) -> Response {
+fn table(state: &MemoryStore, body: &[u8]) -> Response {
     match serde_json::from_slice::<Call>(body) {
         Ok(Call::Read(key)) => reply(state.read(&key)),
         Ok(Call::Insert(insert)) => reply(state.insert(insert)),
@@ -103,17 +101,17 @@
     }
 }
 
-fn reply<T: Serialize>(result: Result<T, PlatformError>) -> Response {
+fn reply<T: Serialize>(result: Result<T, StoreError>) -> Response {
     match result {
         Ok(value) => Response::json(&value),
         Err(error) => failure(&error),
     }
 }
 
-fn failure(error: &PlatformError) -> Response {
+fn failure(error: &StoreError) -> Response {
     match error {
-        PlatformError::Unavailable(_) => Response::text(error.to_string()).with_status_code(503),
-        PlatformError::ReplyLost(_) => {
+        StoreError::Unavailable(_) => Response::text(error.to_string()).with_status_code(503),
+        StoreError::ReplyLost(_) => {
             // Longer than any caller waits: the reply never arrives in time.
             thread::sleep(LOST_REPLY_WAIT);
             Response::text(error.to_string()).with_status_code(504)
--- a/crates/platform/src/error.rs
+++ b/crates/store/src/error.rs
@@ -5,7 +5,7 @@
 quick_error! {
     /// Why the platform gave no answer.
     #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum PlatformError {
+    pub enum StoreError {
         /// The call was refused before it took effect.
         Unavailable(reason: String) {
             display("the platform is unavailable: {reason}")
--- a/crates/platform/src/http.rs
+++ b/crates/store/src/http.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Call, HostEntry, HostList, Insert, Inserted, Objects, PlatformError, Replace, Replaced,
-        Row, Table, Write,
+        Call, HostEntry, HostList, Insert, Inserted, Objects, Replace, Replaced, Row, StoreError,
+        Table, Write,
     },
     attohttpc::{Method, RequestBuilder, Response},
     serde::de::DeserializeOwned,
@@ -12,12 +12,12 @@
 
 /// A client of the platform's HTTP interface. Each call has its own connection and deadline.
 #[derive(Debug, Clone)]
-pub struct HttpPlatform {
+pub struct HttpStore {
     base_url: String,
     timeout: Duration,
 }
 
-impl HttpPlatform {
+impl HttpStore {
     /// Makes a client; nothing is sent yet.
     #[must_use]
     pub fn open(address: SocketAddr, timeout: Duration) -> Self {
@@ -34,7 +34,7 @@
             .follow_redirects(false)
     }
 
-    fn call<T: DeserializeOwned>(&self, call: &Call) -> Result<T, PlatformError> {
+    fn call<T: DeserializeOwned>(&self, call: &Call) -> Result<T, StoreError> {
         let request = self
             .request(Method::POST, "/table")
             .json(call)
@@ -42,39 +42,39 @@
         parse(checked(request.send().map_err(lost)?)?)
     }
 
-    fn fetch<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+    fn fetch<T: DeserializeOwned>(&self, path: &str) -> Result<T, StoreError> {
         let response = self.request(Method::GET, path).send().map_err(lost)?;
         parse(checked(response)?)
     }
 }
 
-impl Table for HttpPlatform {
-    fn read(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+impl Table for HttpStore {
+    fn read(&self, key: &str) -> Result<Option<Row>, StoreError> {
         self.call(&Call::Read(key.to_owned()))
     }
 
-    fn insert(&self, insert: Insert) -> Result<Inserted, PlatformError> {
+    fn insert(&self, insert: Insert) -> Result<Inserted, StoreError> {
         self.call(&Call::Insert(insert))
     }
 
-    fn replace(&self, replace: Replace) -> Result<Replaced, PlatformError> {
+    fn replace(&self, replace: Replace) -> Result<Replaced, StoreError> {
         self.call(&Call::Replace(replace))
     }
 
-    fn transact(&self, writes: Vec<Write>) -> Result<bool, PlatformError> {
+    fn transact(&self, writes: Vec<Write>) -> Result<bool, StoreError> {
         self.call(&Call::Transact(writes))
     }
 }
 
-impl Objects for HttpPlatform {
-    fn put(&self, key: &str, content: &[u8]) -> Result<(), PlatformError> {
+impl Objects for HttpStore {
+    fn put(&self, key: &str, content: &[u8]) -> Result<(), StoreError> {
         let request = self
             .request(Method::PUT, &format!("/objects/{key}"))
             .bytes(content);
         checked(request.send().map_err(lost)?).map(drop)
     }
 
-    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, StoreError> {
         let response = self
             .request(Method::GET, &format!("/objects/{key}"))
             .send()
@@ -85,18 +85,18 @@
         checked(response)?.bytes().map(Some).map_err(lost)
     }
 
-    fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+    fn list(&self, prefix: &str) -> Result<Vec<String>, StoreError> {
         self.fetch(&format!("/list/{prefix}"))
     }
 }
 
-impl HostList for HttpPlatform {
-    fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+impl HostList for HttpStore {
+    fn hosts(&self) -> Result<Vec<HostEntry>, StoreError> {
         self.fetch("/hosts")
     }
 }
 
-fn checked(response: Response) -> Result<Response, PlatformError> {
+fn checked(response: Response) -> Result<Response, StoreError> {
     let status = response.status();
     if status.is_success() {
         return Ok(response);
@@ -104,16 +104,16 @@
     let reason = format!("status {status}");
     // Only 503 promises that the call had no effect.
     if status.as_u16() == 503 {
-        return Err(PlatformError::Unavailable(reason));
+        return Err(StoreError::Unavailable(reason));
     }
-    Err(PlatformError::ReplyLost(reason))
+    Err(StoreError::ReplyLost(reason))
 }
 
-fn parse<T: DeserializeOwned>(response: Response) -> Result<T, PlatformError> {
+fn parse<T: DeserializeOwned>(response: Response) -> Result<T, StoreError> {
     let bytes = response.bytes().map_err(lost)?;
     serde_json::from_slice(&bytes).map_err(lost)
 }
 
-fn lost(error: impl std::fmt::Display) -> PlatformError {
-    PlatformError::ReplyLost(error.to_string())
+fn lost(error: impl std::fmt::Display) -> StoreError {
+    StoreError::ReplyLost(error.to_string())
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,9 +6,9 @@
 mod model;
 
 pub use {
-    error::PlatformError,
-    http::HttpPlatform,
-    memory::{Faults, MemoryPlatform, Usage},
+    error::StoreError,
+    http::HttpStore,
+    memory::{Faults, MemoryStore, Usage},
     model::{
         Call, HostEntry, HostList, HostState, Insert, Inserted, Objects, Platform, Replace,
         Replaced, Row, Table, Write,
--- a/crates/platform/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        HostEntry, HostList, Insert, Inserted, Objects, PlatformError, Replace, Replaced, Row,
-        Table, Write,
+        HostEntry, HostList, Insert, Inserted, Objects, Replace, Replaced, Row, StoreError, Table,
+        Write,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -52,11 +52,11 @@
 
 /// The platform's state.
 #[derive(Debug, Default)]
-pub struct MemoryPlatform {
+pub struct MemoryStore {
     state: Mutex<State>,
 }
 
-impl MemoryPlatform {
+impl MemoryStore {
     /// Sets the failures from now on.
     pub fn set_faults(&self, faults: Faults) {
         self.lock().faults = faults;
@@ -88,27 +88,27 @@
     }
 
     /// Enters a call: waits and fails as told.
-    fn enter(&self) -> Result<MutexGuard<'_, State>, PlatformError> {
+    fn enter(&self) -> Result<MutexGuard<'_, State>, StoreError> {
         let delay_ms = self.lock().faults.delay_ms;
         thread::sleep(Duration::from_millis(delay_ms));
         let state = self.lock();
         if state.faults.down {
-            return Err(PlatformError::Unavailable("told to be down".into()));
+            return Err(StoreError::Unavailable("told to be down".into()));
         }
         Ok(state)
     }
 
-    fn write<T>(&self, apply: impl FnOnce(&mut State) -> T) -> Result<T, PlatformError> {
+    fn write<T>(&self, apply: impl FnOnce(&mut State) -> T) -> Result<T, StoreError> {
         let mut state = self.enter()?;
         state.usage.table_writes += 1;
         if state.faults.lose_writes > 0 {
             state.faults.lose_writes -= 1;
-            return Err(PlatformError::ReplyLost("told to lose the write".into()));
+            return Err(StoreError::ReplyLost("told to lose the write".into()));
         }
         let result = apply(&mut state);
         if state.faults.lose_replies > 0 {
             state.faults.lose_replies -= 1;
-            return Err(PlatformError::ReplyLost("told to lose the reply".into()));
+            return Err(StoreError::ReplyLost("told to lose the reply".into()));
         }
         Ok(result)
     }
@@ -158,28 +158,28 @@
     }
 }
 
-impl Table for MemoryPlatform {
-    fn read(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+impl Table for MemoryStore {
+    fn read(&self, key: &str) -> Result<Option<Row>, StoreError> {
         let mut state = self.enter()?;
         state.usage.table_reads += 1;
         Ok(state.rows.get(key).cloned())
     }
 
-    fn insert(&self, insert: Insert) -> Result<Inserted, PlatformError> {
+    fn insert(&self, insert: Insert) -> Result<Inserted, StoreError> {
         self.write(|state| state.insert(insert))
     }
 
-    fn replace(&self, replace: Replace) -> Result<Replaced, PlatformError> {
+    fn replace(&self, replace: Replace) -> Result<Replaced, StoreError> {
         self.write(|state| state.replace(replace))
     }
 
-    fn transact(&self, writes: Vec<Write>) -> Result<bool, PlatformError> {
+    fn transact(&self, writes: Vec<Write>) -> Result<bool, StoreError> {
         self.write(|state| state.transact(writes))
     }
 }
 
-impl Objects for MemoryPlatform {
-    fn put(&self, key: &str, content: &[u8]) -> Result<(), PlatformError> {
+impl Objects for MemoryStore {
+    fn put(&self, key: &str, content: &[u8]) -> Result<(), StoreError> {
         let mut state = self.enter()?;
         state.usage.object_puts += 1;
         state.usage.object_bytes += content.len() as u64;
@@ -187,11 +187,11 @@
         Ok(())
     }
 
-    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, StoreError> {
         Ok(self.enter()?.objects.get(key).cloned())
     }
 
-    fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError> {
+    fn list(&self, prefix: &str) -> Result<Vec<String>, StoreError> {
         let state = self.enter()?;
         Ok(state
             .objects
@@ -203,8 +203,8 @@
     }
 }
 
-impl HostList for MemoryPlatform {
-    fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+impl HostList for MemoryStore {
+    fn hosts(&self) -> Result<Vec<HostEntry>, StoreError> {
         Ok(self.enter()?.hosts.clone())
     }
 }
--- a/crates/platform/src/model.rs
+++ b/crates/store/src/model.rs
@@ -1,7 +1,7 @@
 //! The platform's interfaces.
 
 use {
-    crate::PlatformError,
+    crate::StoreError,
     serde::{Deserialize, Serialize},
 };
 
@@ -81,28 +81,28 @@
     /// # Errors
     ///
     /// Fails where the platform gives no answer.
-    fn read(&self, key: &str) -> Result<Option<Row>, PlatformError>;
+    fn read(&self, key: &str) -> Result<Option<Row>, StoreError>;
 
     /// Inserts a row where none is.
     ///
     /// # Errors
     ///
-    /// Fails where the platform gives no answer; see [`PlatformError`] for whether it took effect.
-    fn insert(&self, insert: Insert) -> Result<Inserted, PlatformError>;
+    /// Fails where the platform gives no answer; see [`StoreError`] for whether it took effect.
+    fn insert(&self, insert: Insert) -> Result<Inserted, StoreError>;
 
     /// Replaces a row that has the expected version.
     ///
     /// # Errors
     ///
-    /// Fails where the platform gives no answer; see [`PlatformError`] for whether it took effect.
-    fn replace(&self, replace: Replace) -> Result<Replaced, PlatformError>;
+    /// Fails where the platform gives no answer; see [`StoreError`] for whether it took effect.
+    fn replace(&self, replace: Replace) -> Result<Replaced, StoreError>;
 
     /// Makes all writes, or none where one conflicts. Returns whether they were made.
     ///
     /// # Errors
     ///
-    /// Fails where the platform gives no answer; see [`PlatformError`] for whether it took effect.
-    fn transact(&self, writes: Vec<Write>) -> Result<bool, PlatformError>;
+    /// Fails where the platform gives no answer; see [`StoreError`] for whether it took effect.
+    fn transact(&self, writes: Vec<Write>) -> Result<bool, StoreError>;
 }
 
 /// The object store.
@@ -112,21 +112,21 @@
     /// # Errors
     ///
     /// Fails where the platform gives no answer.
-    fn put(&self, key: &str, content: &[u8]) -> Result<(), PlatformError>;
+    fn put(&self, key: &str, content: &[u8]) -> Result<(), StoreError>;
 
     /// Reads an object.
     ///
     /// # Errors
     ///
     /// Fails where the platform gives no answer.
-    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError>;
+    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, StoreError>;
 
     /// Lists the keys that start with a prefix, in order.
     ///
     /// # Errors
     ///
     /// Fails where the platform gives no answer.
-    fn list(&self, prefix: &str) -> Result<Vec<String>, PlatformError>;
+    fn list(&self, prefix: &str) -> Result<Vec<String>, StoreError>;
 }
 
 /// Whether a host or backend server stays.
@@ -154,7 +154,7 @@
     /// # Errors
     ///
     /// Fails where the platform gives no answer.
-    fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError>;
+    fn hosts(&self) -> Result<Vec<HostEntry>, StoreError>;
 }
 
 /// All that the platform gives.
