--- a/crates/place/src/admission.rs
+++ b/crates/place/src/admission.rs
@@ -1,9 +1,6 @@
 //! Whether an engine may be given a request: on time, with a slot, with memory.
 
-use {
-    crate::{Ask, Load, Placer, Prompt, Server, Standing, candidate::Obstacle},
-    std::time::Duration,
-};
+use crate::{Ask, Load, Placer, Prompt, Server, Standing, candidate::Obstacle, time::millis};
 
 /// Share of the bound that may wait before a prompt that is large for it.
 const LARGE_QUEUE_SHARE: f64 = 0.25;
@@ -70,7 +67,3 @@
         own_running < limits.busy as u64
     }
 }
-
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1000.0
-}
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -4,6 +4,7 @@
     crate::{
         Ask, Crowding, Declined, Placement, Placer, Prompt, Server, ServerKey,
         candidate::{Candidate, Obstacle, cheapest, homes},
+        time::millis,
     },
     std::time::Duration,
 };
@@ -244,7 +245,3 @@
         }
     }
 }
-
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1000.0
-}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -17,6 +17,7 @@
 mod score;
 mod server;
 mod shares;
+mod time;
 mod tuning;
 
 pub use {
