--- a/test.sh
+++ b/test.sh
@@ -17,8 +17,13 @@
 
 cargo build --release --bins
 cargo test --release --workspace -- "${skip[@]+"${skip[@]}"}"
-target/release/baobab-soak --regressions platform/soak/regressions.txt
-target/release/baobab-soak --seed 1 --runs 2 --seconds 8
+soak() {
+    cargo run --release --quiet --bin baobab-soak -- "$@"
+}
+soak --regressions platform/soak/regressions.txt
+soak --seed 1 --seconds 8
+# From twelve routers on, a few read the store's tables for all.
+soak --seed 400 --seconds 8 --routers 14 --callers 2
 
 for name in "${red[@]+"${red[@]}"}"; do
     echo "known red: $name"
