--- a/crates/place/src/admission.rs
+++ b/crates/place/src/admission.rs
@@ -1,6 +1,6 @@
 //! Whether an engine may be given a request: on time, with a slot, with memory.
 
-use crate::{Ask, Load, Placer, Prompt, Server, Standing, candidate::Obstacle, time::millis};
+use crate::{Ask, Load, Placer, Prompt, Server, Standing, candidate::Obstacle, convert::millis};
 
 /// Share of the bound that may wait before a prompt that is large for it.
 const LARGE_QUEUE_SHARE: f64 = 0.25;
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -4,7 +4,7 @@
     crate::{
         Ask, Crowding, Declined, Placement, Placer, Prompt, Server, ServerKey,
         candidate::{Candidate, Obstacle, cheapest, homes},
-        time::millis,
+        convert::millis,
     },
     std::time::Duration,
 };
--- a/crates/place/src/connections.rs
+++ b/crates/place/src/connections.rs
@@ -1,6 +1,6 @@
 //! How many connections to one server a router may have.
 
-use crate::Server;
+use crate::{Server, convert::part_of};
 
 /// Part of a server's connections that all routers together use.
 const USED_SHARE: f64 = 0.9;
@@ -27,7 +27,8 @@
     #[must_use]
     pub fn new(server: &Server, max_connections: u32, fleet_size: usize) -> Self {
         let slots = server.slots as usize;
-        let used = part_of(max_connections, USED_SHARE);
+        let used = part_of(u64::from(max_connections), USED_SHARE);
+        let used = usize::try_from(used).unwrap_or(usize::MAX);
         let fleet_size = fleet_size.max(1);
         Self {
             busy: (used / fleet_size).max(slots).max(LEAST_BUSY),
@@ -35,9 +36,3 @@
         }
     }
 }
-
-/// Returns a share of a count.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn part_of(count: u32, share: f64) -> usize {
-    (f64::from(count) * share) as usize
-}
--- /dev/null
+++ b/crates/place/src/convert.rs
@@ -0,0 +1,14 @@
+//! Conversions of the figures that decisions go by.
+
+use std::time::Duration;
+
+/// Returns a time in milliseconds, with their fractions.
+pub(crate) fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
+
+/// Returns a share of a count, rounded down.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(crate) fn part_of(count: u64, share: f64) -> u64 {
+    (count as f64 * share) as u64
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod choice;
 mod connections;
+mod convert;
 mod health;
 mod load;
 mod peers;
@@ -17,7 +18,6 @@
 mod score;
 mod server;
 mod shares;
-mod time;
 mod tuning;
 
 pub use {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         CacheView, ConnectionLimits, Health, Load, Outcome, Part, Peers, Placement, Prompt,
-        Registry, Server, ServerKey, Tuning,
+        Registry, Server, ServerKey, Tuning, convert::part_of,
     },
     std::{collections::HashMap, time::Duration},
 };
@@ -208,9 +208,3 @@
         }
     }
 }
-
-/// Returns a share of a count of tokens.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn part_of(tokens: u64, share: f64) -> u64 {
-    (tokens as f64 * share) as u64
-}
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -177,7 +177,9 @@
     miss: &Miss,
     server: ServerKey,
 ) -> Result<(), Problem> {
-    if !miss.may_have_run() && !job.may_have_run.get() {
+    if miss.may_have_run() {
+        job.may_have_run.set(true);
+    } else if !job.may_have_run.get() {
         refund(core, job);
     }
     let (reason, may_repeat) = match miss {
@@ -200,7 +202,6 @@
         }
         Miss::Lost(_) | Miss::Stalled => {
             attempts.sent += 1;
-            job.may_have_run.set(true);
             (Reason::ServerFailed, job.route.repeat.is_repeatable())
         }
     };
--- a/crates/relay/src/shared_tables.rs
+++ b/crates/relay/src/shared_tables.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{command::Command, gossip::ToldTable},
+    baobab_unit::to_u32,
     baobab_watch::{Hearing, Neighbours, Revision, Told},
     flume::{Receiver, Sender},
     std::{
@@ -59,8 +60,7 @@
     pub fn set_place(&self, rank: usize, fleet_size: usize) {
         let is_hearer = fleet_size >= LEAST_FLEET && rank >= READERS;
         self.is_hearer.store(is_hearer, Ordering::Relaxed);
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        self.rank.store(rank, Ordering::Relaxed);
+        self.rank.store(to_u32(rank), Ordering::Relaxed);
     }
 
     /// Returns how many routers that are heard stand before this one.
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -8,7 +8,7 @@
     },
     baobab_place::PeerReport,
     baobab_routing::Confirmation,
-    baobab_unit::{id_of, millis},
+    baobab_unit::{id_of, millis, to_u32},
     baobab_watch::suspension_clock,
     std::{rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
@@ -112,7 +112,7 @@
 }
 
 fn peers(core: &Core) -> u32 {
-    u32::try_from(core.book.borrow().fleet_size() - 1).unwrap_or(u32::MAX)
+    to_u32(core.book.borrow().fleet_size() - 1)
 }
 
 /// Notes whether this router reads the store's tables for the others.
--- a/crates/watch/src/freshness.rs
+++ b/crates/watch/src/freshness.rs
@@ -1,8 +1,11 @@
 //! Who asks the store for a confirmation, so that few do.
 
-use std::{
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
-    time::Duration,
+use {
+    baobab_unit::millis,
+    std::{
+        sync::atomic::{AtomicBool, AtomicU64, Ordering},
+        time::Duration,
+    },
 };
 
 /// Age of the last confirmation at which the first router asks for another.
@@ -42,8 +45,8 @@
 impl Freshness {
     /// Notes a confirmation, dated on the suspension clock.
     pub fn on_confirmed(&self, version: u64, as_of: Duration) {
-        let millis = whole_millis(as_of);
-        self.confirmed_ms.fetch_max(millis, Ordering::Relaxed);
+        self.confirmed_ms
+            .fetch_max(millis(as_of), Ordering::Relaxed);
         self.on_heard(version);
     }
 
@@ -77,12 +80,8 @@
             self.behind_since_ms.store(NOT_BEHIND, Ordering::Relaxed);
             return false;
         }
-        let now_ms = whole_millis(now);
+        let now_ms = millis(now);
         let since_ms = self.behind_since_ms.fetch_min(now_ms, Ordering::Relaxed);
-        now_ms.saturating_sub(since_ms.min(now_ms)) >= whole_millis(FEED_TIME)
+        now_ms.saturating_sub(since_ms.min(now_ms)) >= millis(FEED_TIME)
     }
 }
-
-fn whole_millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
