Replace the store clock's bound when the store's clock steps forward

Cause: StoreClock kept the largest lower bound of the offset between the store's clock and the host's for good. The soak steps the store's clock forward by 400 ms, several times in a row; from then on each confirmation read late (a link cut in one direction, then open again) or received from a peer was dated up to the sum of the steps too late, so that keys stayed accepted beyond the bound on revocation.

Ruled out: requests admitted before the lease ended and sent later (the check is at admission and bodies are empty); stale gossip after a pause (dated by the same clock, so it adds nothing without a step).

A time of the store cannot be received before it was read, so receipt minus store time is an upper bound; a lower bound above it is replaced, whoever has read the time.

--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -198,6 +198,9 @@
 /// delayed datagram does not extend the key lease.
 fn apply_confirmation(core: &Core, confirmation: GossipConfirmation) {
     core.shared.freshness.on_peer_version(confirmation.version);
+    core.shared
+        .store_clock
+        .limit(suspension_clock(), confirmation.store_time);
     let Some(as_of) = core.shared.store_clock.earliest(confirmation.store_time) else {
         return;
     };
--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -181,7 +181,7 @@
         self.revision = Some(listing.revision);
         self.signals
             .store_clock
-            .observe(sent_at, listing.store_time);
+            .observe(sent_at, suspension_clock(), listing.store_time);
         self.listener.on_listing(listing.rows);
         self.publish(listing.revision, listing.revision, &[]);
         self.listener.on_current(sent_at, listing.store_time);
@@ -205,7 +205,10 @@
             )));
         }
         self.revision = Some(revision);
-        self.signals.store_clock.observe(sent_at, store_time);
+        let received_at = suspension_clock();
+        self.signals
+            .store_clock
+            .observe(sent_at, received_at, store_time);
         let has_changed = !changes.is_empty();
         self.publish(since, revision, &changes);
         for change in changes {
