Heed servers that say they leave, ask for no requests, or never end

- A response that says its server is leaving retires that run until it restarts, whatever its row says.
Idle connections to it are closed.
- 503 with a time to retry: no request goes there for that time, nor one whose connection opens meanwhile.
It is no failure of the server.
If all servers of a service ask for it, callers are told at once, with that time.
- An event longer than 64 KiB is a fault of the server; before, parts of an event were kept without bound and searched again with each read.
- Only whole events count as progress of a resumable stream; a server that sent a byte now and then kept it until the deadline.
- A request counts as sent only if a connection took it: after a closed idle connection a timeout was reported as if it may have run.

--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -31,17 +31,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PlacementError::NoServer`] if no server is usable, and [`PlacementError::Busy`] if
-    /// none has capacity within the bounds of the request's admission class.
+    /// Returns [`PlacementError::NoServer`] if no server is usable, [`PlacementError::BackingOff`]
+    /// if all of them have asked for no requests, and [`PlacementError::Busy`] if none has capacity
+    /// within the bounds of the request's admission class.
     pub fn place(
         &self,
         request: &PlacementRequest,
         now: Duration,
     ) -> Result<Placement, PlacementError> {
-        let servers = self.eligible_servers(request, now);
-        if servers.is_empty() {
-            return Err(PlacementError::NoServer);
-        }
+        let servers = self.eligible_servers(request, now)?;
         let candidates = match request.prompt {
             Some(prompt) => self.engine_candidates(request, prompt, &servers),
             None => self.plain_candidates(request, &servers),
@@ -101,18 +99,29 @@
         preferred
     }
 
-    /// Returns the untried servers that are not ejected, or all untried ones if every one is
-    /// ejected.
+    /// Returns the untried servers that are neither ejected nor backing off, or those that are only
+    /// ejected if there are no others.
     fn eligible_servers<'a>(
         &'a self,
         request: &'a PlacementRequest,
         now: Duration,
-    ) -> Vec<&'a Server> {
-        let untried: Vec<&Server> = self
-            .registry
-            .usable(request.service)
-            .filter(|server| !request.tried.contains(&server.key))
-            .collect();
+    ) -> Result<Vec<&'a Server>, PlacementError> {
+        let mut min_backoff: Option<Duration> = None;
+        let mut untried: Vec<&Server> = Vec::new();
+        for server in self.registry.usable(request.service) {
+            if request.tried.contains(&server.key) {
+                continue;
+            }
+            match self.backoff(server.key, now) {
+                Some(backoff) => {
+                    min_backoff = Some(min_backoff.map_or(backoff, |min| min.min(backoff)));
+                }
+                None => untried.push(server),
+            }
+        }
+        if untried.is_empty() {
+            return Err(min_backoff.map_or(PlacementError::NoServer, PlacementError::BackingOff));
+        }
         let healthy: Vec<&Server> = untried
             .iter()
             .copied()
@@ -122,7 +131,7 @@
                     .is_none_or(|state| !state.health.is_ejected(now))
             })
             .collect();
-        if healthy.is_empty() { untried } else { healthy }
+        Ok(if healthy.is_empty() { untried } else { healthy })
     }
 
     fn plain_candidates<'a>(
--- a/crates/place/src/placement_request.rs
+++ b/crates/place/src/placement_request.rs
@@ -80,6 +80,8 @@
 pub enum PlacementError {
     /// The service has no usable server.
     NoServer,
+    /// All servers want no requests from this router for at least this time.
+    BackingOff(Duration),
     /// No server can take the request now.
     Busy(Congestion),
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -10,6 +10,8 @@
 
 /// Weight of the newest first event in an engine's exponentially weighted slowdown.
 const SLOWDOWN_EWMA_WEIGHT: f64 = 0.1;
+/// Maximum time for which a server can ask for no requests.
+const MAX_BACKOFF: Duration = Duration::from_mins(5);
 /// Bounds of an engine's slowdown: actual over predicted time to first event.
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.5, 8.0);
 
@@ -19,6 +21,8 @@
     pub(crate) load: Load,
     pub(crate) cache: CacheView,
     pub(crate) slowdown: f64,
+    /// Until when the server wants no requests from this router.
+    pub(crate) backoff_until: Option<Duration>,
     is_changed: bool,
 }
 
@@ -29,6 +33,7 @@
             load: Load::default(),
             cache: CacheView::new(u64::MAX),
             slowdown: 1.0,
+            backoff_until: None,
             is_changed: false,
         }
     }
@@ -141,9 +146,27 @@
             state.cache.clear();
             state.health = Health::default();
             state.slowdown = 1.0;
+            state.backoff_until = None;
         }
     }
 
+    /// Records that a server wants no requests from this router for some time. This is no failure
+    /// of the server.
+    pub fn on_backoff(&mut self, key: ServerKey, backoff: Duration, now: Duration) {
+        let state = self.states.entry(key).or_insert_with(ServerState::new);
+        let until = now + backoff.min(MAX_BACKOFF);
+        state.backoff_until = state.backoff_until.max(Some(until));
+    }
+
+    /// Returns how long a server still wants no requests from this router, if it does.
+    #[must_use]
+    pub fn backoff(&self, key: ServerKey, now: Duration) -> Option<Duration> {
+        let until = self.states.get(&key)?.backoff_until?;
+        until
+            .checked_sub(now)
+            .filter(|remaining| !remaining.is_zero())
+    }
+
     /// Removes and returns up to `max` shared parts that engines have used and that are not yet
     /// reported to the other routers.
     pub fn take_unreported_parts(&mut self, max: usize) -> Vec<(ServerKey, Part)> {
@@ -175,8 +198,11 @@
         self.registry.expire(now);
         self.peers.expire(now);
         let registry = &self.registry;
-        self.states
-            .retain(|key, state| registry.get(*key).is_some() || state.load != Load::default());
+        self.states.retain(|key, state| {
+            registry.get(*key).is_some()
+                || state.load != Load::default()
+                || state.backoff_until.is_some_and(|until| until > now)
+        });
     }
 
     /// Sets the cache capacity of a service's engines from the memory of each, in tokens.
--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -41,6 +41,9 @@
                 );
                 return Err(Problem::with_retry_after(Reason::NoServer, delay));
             }
+            Err(PlacementError::BackingOff(backoff)) => {
+                return Err(backing_off(core, job, backoff));
+            }
             Err(PlacementError::Busy(congestion)) => {
                 if Instant::now() >= wait_until {
                     return Err(refusal(core, job, admission_class, congestion));
@@ -51,6 +54,21 @@
     }
 }
 
+/// Refuses a request at once: no server of the service takes any for `backoff`.
+fn backing_off(core: &Core, job: &Job, backoff: Duration) -> Problem {
+    log::info!(
+        id = job.id.as_str(),
+        service = job.service.as_str(),
+        backoff_ms = millis(backoff);
+        "all servers have asked for no requests"
+    );
+    let cause = RefusalCause::Busy {
+        available_in: backoff,
+    };
+    let delay = retry_after(cause, job.time_left(), core.random_fraction());
+    Problem::with_retry_after(Reason::Busy, delay.max(backoff))
+}
+
 fn admission_class(core: &Core, job: &Job) -> AdmissionClass {
     let admission_class = match &job.caller {
         Some(caller) => core.shares.borrow().admission_class(caller.workspace),
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -15,6 +15,7 @@
     baobab_client::{Connection, SendError},
     baobab_place::{Placement, ServerOutcome},
     baobab_routing::RetrySafety,
+    baobab_unit::millis,
     http::{Request, header::CONNECTION, response},
     http_body_util::Full,
     hyper::body::Incoming,
@@ -39,6 +40,10 @@
         NotSent(reason: String) {
             display("nothing was sent: {reason}")
         }
+        /// The server has asked for no requests while the connection was opened.
+        BackingOff {
+            display("the server has asked for no requests")
+        }
         /// All connections that the router may have to the server are in use.
         NoConnection(max_connections: usize) {
             display("all {max_connections} connections to the server are in use")
@@ -100,7 +105,7 @@
         Err(error) => {
             let outcome = match error {
                 AttemptError::NotSent(_) => ServerOutcome::Unreachable,
-                AttemptError::NoConnection(_) => ServerOutcome::Full,
+                AttemptError::NoConnection(_) | AttemptError::BackingOff => ServerOutcome::Full,
                 _ => ServerOutcome::Failure,
             };
             load_guard.finish(outcome);
@@ -127,9 +132,21 @@
             None => open(core, load_guard).await?,
         };
         let mut active = ActiveConnection::new(core, load_guard, connection);
+        if core
+            .placer
+            .borrow()
+            .backoff(server.key, core.now())
+            .is_some()
+        {
+            return Err(AttemptError::BackingOff);
+        }
         let request = build_request(core, job, load_guard, fetch_from, resume_after);
-        job.was_sent.set(true);
-        match active.send(request).await {
+        let was_sent_before = job.was_sent.replace(true);
+        let result = active.send(request).await;
+        if matches!(result, Err(SendError::NotSent(_))) {
+            job.was_sent.set(was_sent_before);
+        }
+        match result {
             Ok(response) => {
                 let (head, body) = response.into_parts();
                 return Ok((active, head, body));
@@ -196,6 +213,9 @@
     body: Incoming,
 ) -> Result<ServerResponse, AttemptError> {
     let origin = core.header_codec.classify_response(&job.id, &head);
+    if matches!(origin, ResponseOrigin::Genuine | ResponseOrigin::NotRun) {
+        apply_notices(core, &load_guard, &head);
+    }
     let keep_alive = keep_alive(&head);
     let error = match origin {
         ResponseOrigin::Genuine => {
@@ -222,6 +242,32 @@
     Err(error)
 }
 
+/// Applies what the server says of itself. Responses of other servers must not get here.
+fn apply_notices(core: &Core, load_guard: &LoadGuard, head: &response::Parts) {
+    let notices = core.header_codec.decode_notices(head);
+    let server = &load_guard.server;
+    let now = core.now();
+    if notices.is_leaving {
+        let mut placer = core.placer.borrow_mut();
+        let is_new = placer
+            .registry
+            .get(server.key)
+            .is_some_and(|known| !known.is_leaving);
+        placer.registry.on_leaving_response(server.key, now);
+        drop(placer);
+        core.pool.close_idle(server.key);
+        if is_new {
+            log::info!(server = server.id.as_str(); "server says that it is leaving");
+        }
+    }
+    if let Some(backoff) = notices.backoff {
+        core.placer
+            .borrow_mut()
+            .on_backoff(server.key, backoff, now);
+        log::info!(server = server.id.as_str(), backoff_ms = millis(backoff); "server asks for no requests");
+    }
+}
+
 fn keep_alive(head: &response::Parts) -> KeepAlive {
     let closes = head
         .headers
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -14,7 +14,11 @@
     baobab_routing::RetrySafety,
     baobab_unit::millis,
     bytes::{Bytes, BytesMut},
-    http::{header::CONTENT_LENGTH, response},
+    http::{
+        StatusCode,
+        header::{CONTENT_LENGTH, RETRY_AFTER},
+        response,
+    },
     std::{future::poll_fn, rc::Rc, time::Duration},
 };
 
@@ -142,7 +146,11 @@
             return Err("a response without content-length is too long".to_owned());
         }
     }
-    let outcome = if head.status.is_server_error() {
+    let is_turned_away =
+        head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(RETRY_AFTER);
+    let outcome = if is_turned_away {
+        ServerOutcome::Full
+    } else if head.status.is_server_error() {
         ServerOutcome::Failure
     } else {
         ServerOutcome::Success
@@ -188,7 +196,7 @@
         refund(core, job);
     }
     let (reason, may_retry) = match error {
-        AttemptError::NotSent(_) | AttemptError::NoConnection(_) => {
+        AttemptError::NotSent(_) | AttemptError::NoConnection(_) | AttemptError::BackingOff => {
             attempts.unreachable += 1;
             if attempts.unreachable < MAX_UNREACHABLE {
                 return Ok(());
--- a/crates/relay/src/forward/events.rs
+++ b/crates/relay/src/forward/events.rs
@@ -3,11 +3,15 @@
 use bytes::{Bytes, BytesMut};
 
 const SEPARATOR: &[u8] = b"\n\n";
+/// Maximum length of an event. A server that sends more bytes without the end of an event is faulty.
+pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 /// Buffers partial events, and drops events that the caller already has.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
+    /// Length of the beginning of `partial` that contains no separator.
+    scanned: usize,
     last_id: Option<u64>,
 }
 
@@ -16,15 +20,25 @@
     pub fn push(&mut self, data: &[u8]) -> Bytes {
         self.partial.extend_from_slice(data);
         let mut complete = BytesMut::new();
-        while let Some(length) = find(&self.partial, SEPARATOR) {
-            let event = self.partial.split_to(length + SEPARATOR.len());
+        while let Some(offset) = find(&self.partial[self.scanned..], SEPARATOR) {
+            let event = self
+                .partial
+                .split_to(self.scanned + offset + SEPARATOR.len());
+            self.scanned = 0;
             if self.is_new(&event) {
                 complete.extend_from_slice(&event);
             }
         }
+        self.scanned = self.partial.len().saturating_sub(SEPARATOR.len() - 1);
         complete.freeze()
     }
 
+    /// Whether the partial event exceeds the maximum length.
+    #[must_use]
+    pub fn is_too_long(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns the id of the last event returned by [`Self::push`].
     #[must_use]
     pub fn last_id(&self) -> Option<u64> {
@@ -40,6 +54,7 @@
     /// Drops a partial event, since the stream resumes at another server.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.scanned = 0;
     }
 
     fn is_new(&mut self, event: &[u8]) -> bool {
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         dispatch::{Attempts, ForwardedResponse, dispatch, may_resume},
-        events::EventSplitter,
+        events::{EventSplitter, MAX_EVENT_BYTES},
         exchange::Exchange,
         job::Job,
         problem::Problem,
@@ -63,6 +63,8 @@
     state: State,
     splitter: Option<EventSplitter>,
     last_bytes: [u8; 2],
+    /// Bytes forwarded since the last event that ended within one frame, if events are not split.
+    event_bytes: usize,
     timing: StreamTiming,
     deadline_timer: Pin<Box<Sleep>>,
     silence_timer: Option<Pin<Box<Sleep>>>,
@@ -89,6 +91,7 @@
             state: State::Reading(exchange),
             splitter: is_resumable.then(EventSplitter::default),
             last_bytes: [b'\n'; 2],
+            event_bytes: 0,
             timing: StreamTiming::default(),
             deadline_timer: Box::pin(sleep_until(job.deadline)),
             silence_timer: is_resumable
@@ -111,9 +114,15 @@
                 }
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(Ok(data))) => {
-                    self.on_activity();
                     let forwarded = self.split(data);
+                    if self.is_event_too_long() {
+                        return self.on_read_error(
+                            context,
+                            "an event exceeds its maximum length".to_owned(),
+                        );
+                    }
                     if !forwarded.is_empty() {
+                        self.on_activity();
                         return Poll::Ready(Some(Ok(Frame::data(forwarded))));
                     }
                 }
@@ -227,12 +236,23 @@
         if let Some(splitter) = &mut self.splitter {
             return splitter.push(&data);
         }
+        match data.windows(2).rposition(|bytes| bytes == b"\n\n") {
+            Some(offset) => self.event_bytes = data.len() - offset - 2,
+            None => self.event_bytes += data.len(),
+        }
         for byte in &data[data.len().saturating_sub(2)..] {
             self.last_bytes = [self.last_bytes[1], *byte];
         }
         data
     }
 
+    fn is_event_too_long(&self) -> bool {
+        match &self.splitter {
+            Some(splitter) => splitter.is_too_long(),
+            None => self.job.route.retry_safety.is_stream() && self.event_bytes > MAX_EVENT_BYTES,
+        }
+    }
+
     fn is_at_boundary(&self) -> bool {
         match &self.splitter {
             Some(splitter) => splitter.is_at_boundary(),
--- a/crates/relay/src/header_codec.rs
+++ b/crates/relay/src/header_codec.rs
@@ -63,6 +63,15 @@
     Foreign,
 }
 
+/// What a server says of itself in the head of a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServerNotices {
+    /// Whether it is leaving and wants no new requests.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests from this router, if it has turned this one away.
+    pub backoff: Option<Duration>,
+}
+
 /// Reads and writes the headers of one deployment.
 pub trait HeaderCodec {
     /// Reads a caller's headers.
@@ -80,4 +89,7 @@
 
     /// Classifies the head of a response to the request with this id.
     fn classify_response(&self, id: &str, response: &response::Parts) -> ResponseOrigin;
+
+    /// Reads what the server says of itself in the head of a response.
+    fn decode_notices(&self, response: &response::Parts) -> ServerNotices;
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,7 +23,9 @@
     command::{Command, PeerHost},
     error::RelayError,
     gossip::{Outbox, PeerKey},
-    header_codec::{ForwardHeaders, HeaderCodec, HeaderError, RequestHeaders, ResponseOrigin},
+    header_codec::{
+        ForwardHeaders, HeaderCodec, HeaderError, RequestHeaders, ResponseOrigin, ServerNotices,
+    },
     identity::Identity,
     overload::Overload,
     relay::{Handle, spawn},
