Bound running requests by number on large engines, by slots on small ones

Cause: requests within the share could take half of an engine's slots, so an engine of 12 slots ran 6 requests at most.

The bound of half of 64 slots protects memory for cached prompts and the speed of each token. Neither is a matter of the fraction: it is now 32 requests (20 beyond the share), and 0.92 (0.75) of the slots on engines that have fewer.

--- a/crates/place/src/admission.rs
+++ b/crates/place/src/admission.rs
@@ -20,23 +20,22 @@
         queue_ms: f64,
         predicted_ms: f64,
     ) -> Option<Rejection> {
-        let (objective_fraction, slot_fraction) = match request.admission_class {
-            AdmissionClass::Modest => (self.tuning.objective_fraction, self.tuning.slot_fraction),
+        let running_bound = self.tuning.running_bound.for_slots(server.slots);
+        let spare_running_bound = self.tuning.spare_running_bound.for_slots(server.slots);
+        let (objective_fraction, max_running) = match request.admission_class {
+            AdmissionClass::Modest => (self.tuning.objective_fraction, running_bound),
             AdmissionClass::WithinShare { unused } => {
                 let scale =
                     self.tuning.limited_factor + (1.0 - self.tuning.limited_factor) * unused;
                 (
                     self.tuning.objective_fraction * scale,
-                    self.tuning.slot_fraction * scale,
+                    running_bound * scale,
                 )
             }
-            AdmissionClass::Late => (
-                self.tuning.spare_objective_fraction,
-                self.tuning.spare_slot_fraction,
-            ),
+            AdmissionClass::Late => (self.tuning.spare_objective_fraction, spare_running_bound),
             AdmissionClass::BeyondShare { excess } => (
                 self.tuning.spare_objective_fraction / excess,
-                self.tuning.spare_slot_fraction / excess,
+                spare_running_bound / excess,
             ),
         };
         let bound_ms = millis(request.objective) * objective_fraction;
@@ -51,7 +50,7 @@
         } else {
             predicted_ms <= bound_ms && (fits_queue_bound || is_queue_short)
         };
-        let has_slot = (load.running as f64) < f64::from(server.slots) * slot_fraction
+        let has_slot = (load.running as f64) < max_running
             && self.has_connection(request, server);
         let memory_bound = request.memory_tokens as f64 * self.tuning.memory_fraction;
         let has_memory = request.memory_tokens == 0
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -34,5 +34,5 @@
     registry::Registry,
     server::{Server, ServerId, ServerKey},
     shares::{RatesByWorkspace, Shares, WorkspaceRates, max_min},
-    tuning::Tuning,
+    tuning::{RunningBound, Tuning},
 };
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -405,3 +405,35 @@
     placer.on_finished(1, one, Some(ServerOutcome::Full), NOW);
     assert!(placer.place(&plain, NOW).is_ok());
 }
+
+/// Engines with few slots serve most of them; those with many keep memory and speed in reserve.
+#[test]
+fn running_requests_are_bounded_by_slots_on_small_engines_and_by_number_on_large_ones() {
+    for (slots, admission_class, expected) in [
+        (12, AdmissionClass::Modest, 12),
+        (12, AdmissionClass::BeyondShare { excess: 1.0 }, 9),
+        (64, AdmissionClass::Modest, 32),
+        (64, AdmissionClass::BeyondShare { excess: 1.0 }, 20),
+    ] {
+        let mut registry = Registry::new(Duration::from_secs(2));
+        let engine = Server { slots, ..server(1) };
+        registry.replace(vec![engine], Duration::ZERO);
+        let peers = Peers::new(Duration::from_secs(1));
+        let mut placer = Placer::new(registry, peers, Tuning::default());
+        let prompt = Prompt {
+            parts: Vec::new(),
+            tokens: 10,
+            output_limit: 400,
+            output_hint: None,
+        };
+        let request = placement_request(&prompt, admission_class);
+        let mut admitted = 0;
+        while let Ok(placement) = placer.place(&request, NOW) {
+            let mut load = placer.on_sent(&placement, Some(&prompt), NOW);
+            let predicted = placement.predicted_first_event;
+            placer.on_first_event(1, &mut load, predicted, predicted);
+            admitted += 1;
+        }
+        assert_eq!(admitted, expected, "{slots} slots, {admission_class:?}");
+    }
+}
