--- a/crates/place/src/admission.rs
+++ b/crates/place/src/admission.rs
@@ -50,8 +50,7 @@
         } else {
             predicted_ms <= bound_ms && (fits_queue_bound || is_queue_short)
         };
-        let has_slot = (load.running as f64) < max_running
-            && self.has_connection(request, server);
+        let has_slot = (load.running as f64) < max_running && self.has_connection(request, server);
         let memory_bound = request.memory_tokens as f64 * self.tuning.memory_fraction;
         let has_memory = request.memory_tokens == 0
             || (load.memory_tokens + prompt.memory_tokens()) as f64 <= memory_bound
--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -86,6 +86,18 @@
             .sum()
     }
 
+    /// Removes the parts whose last use is longer ago than `lifetime`.
+    pub fn expire(&mut self, lifetime: Duration, now: Duration) {
+        let cached_tokens = &mut self.cached_tokens;
+        self.parts.retain(|_, cached| {
+            let is_kept = now.saturating_sub(cached.used_at) <= lifetime;
+            if !is_kept {
+                *cached_tokens -= cached.tokens;
+            }
+            is_kept
+        });
+    }
+
     /// Removes all parts, as after a restart of the engine.
     pub fn clear(&mut self) {
         self.parts.clear();
--- a/crates/place/src/candidate.rs
+++ b/crates/place/src/candidate.rs
@@ -1,9 +1,6 @@
 //! Candidate servers for a request.
 
-use {
-    crate::{PartId, Server, ServerKey, score::rendezvous_score},
-    std::time::Duration,
-};
+use crate::{PartId, Server, ServerKey, score::rendezvous_score};
 
 /// Reason that a server cannot take a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,22 +24,16 @@
     pub(crate) prefill_tokens: u64,
     /// Prompt tokens that it has cached.
     pub(crate) cached_tokens: u64,
-    /// Time of its last use of the last shared part.
-    pub(crate) used_at: Option<Duration>,
     /// Prefill time of the prompts queued before the request.
     pub(crate) queue_ms: f64,
     pub(crate) rejection: Option<Rejection>,
 }
 
-/// Returns the cheapest candidate that can take the request, among those for which `is_wanted` is
-/// true.
-pub(crate) fn cheapest<'a, 'b>(
-    candidates: &'b [Candidate<'a>],
-    is_wanted: impl Fn(ServerKey) -> bool,
-) -> Option<&'b Candidate<'a>> {
+/// Returns the cheapest candidate that can take the request.
+pub(crate) fn cheapest<'a, 'b>(candidates: &'b [Candidate<'a>]) -> Option<&'b Candidate<'a>> {
     candidates
         .iter()
-        .filter(|candidate| candidate.rejection.is_none() && is_wanted(candidate.server.key))
+        .filter(|candidate| candidate.rejection.is_none())
         .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
 }
 
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -18,13 +18,6 @@
 const FULL_SERVER_COST_MS: f64 = 20.0;
 /// Engines of the rendezvous order that are ranked; all others share the next rank.
 const RANKED_ENGINES: usize = 3;
-/// Minimum number of other routers at which each considers only a few engines first. With fewer,
-/// load reports arrive within the prefill time of one prompt.
-const SAMPLING_MIN_PEERS: usize = 20;
-/// Random engines considered besides those ranked first for the shared parts.
-const RANDOM_CHOICES: usize = 3;
-/// Minimum length of the last shared part, in tokens, for its top-ranked engines to be considered.
-const MIN_SHARED_TOKENS: u64 = 1000;
 
 impl Placer {
     /// Chooses the cheapest server that can take the request.
@@ -39,69 +32,43 @@
         request: &PlacementRequest,
         now: Duration,
     ) -> Result<Placement, PlacementError> {
-        let servers = self.eligible_servers(request, now)?;
+        let mut servers = self.eligible_servers(request, now)?;
+        let ranked = request
+            .prompt
+            .map_or_else(Vec::new, |prompt| ranked_engines(prompt, &servers));
+        let source = request
+            .prompt
+            .and_then(|prompt| self.fetch_source(prompt, &servers));
+        if let Some(sample) = request.sample {
+            servers.retain(|server| sample.contains(&server.key));
+        }
         let candidates = match request.prompt {
-            Some(prompt) => self.engine_candidates(request, prompt, &servers),
+            Some(prompt) => {
+                let max_cached_tokens = source.map_or(0, |(_, cached_tokens)| cached_tokens);
+                self.engine_candidates(request, prompt, &servers, &ranked, max_cached_tokens)
+            }
             None => self.plain_candidates(request, &servers),
         };
-        let preferred = self.preferred(request, &candidates);
-        // Of engines with equally many cached tokens, the one that used the parts last is the least
-        // likely to have evicted them.
-        let best_cached = candidates
-            .iter()
-            .max_by_key(|candidate| (candidate.cached_tokens, candidate.used_at));
-        let best = cheapest(&candidates, |key| preferred.contains(&key))
-            .or_else(|| cheapest(&candidates, |_| true));
-        let Some(best) = best else {
+        let Some(best) = cheapest(&candidates) else {
             return Err(PlacementError::Busy(self.congestion(request, &candidates)));
         };
-        let fetch_from = best_cached
-            .filter(|source| request.can_fetch && source.cached_tokens > best.cached_tokens)
-            .map(|source| source.server.address);
+        let max_cached_tokens = source.map_or(0, |(_, cached_tokens)| cached_tokens);
+        let fetch_from = source
+            .filter(|_| request.can_fetch && max_cached_tokens > best.cached_tokens)
+            .map(|(server, _)| server.address);
         Ok(Placement {
             server: best.server.clone(),
             predicted_first_event: Duration::from_secs_f64(best.predicted_ms / 1000.0),
             prefill_tokens: best.prefill_tokens,
             cached_tokens: best.cached_tokens,
-            max_cached_tokens: best_cached.map_or(0, |source| source.cached_tokens),
+            max_cached_tokens,
             fetch_from,
         })
     }
 
-    /// Returns the engines to consider first: in a large fleet a sample, else all of them. Load
-    /// reports of many routers are some hundred milliseconds old; if every router considered every
-    /// engine, all would choose the same one.
-    fn preferred(&self, request: &PlacementRequest, candidates: &[Candidate]) -> Vec<ServerKey> {
-        let Some(prompt) = request
-            .prompt
-            .filter(|_| self.peers.len() >= SAMPLING_MIN_PEERS)
-        else {
-            return candidates
-                .iter()
-                .map(|candidate| candidate.server.key)
-                .collect();
-        };
-        let servers: Vec<&Server> = candidates
-            .iter()
-            .map(|candidate| candidate.server)
-            .collect();
-        let mut preferred = Vec::new();
-        if let Some(shared) = prompt
-            .last_shared()
-            .filter(|part| part.tokens >= MIN_SHARED_TOKENS)
-        {
-            preferred.extend(rendezvous_order(shared.id, &servers, RANKED_ENGINES));
-        }
-        if let Some(own_part) = prompt.parts.last() {
-            // The own part differs from request to request, which makes this a random choice.
-            preferred.extend(rendezvous_order(own_part.id, &servers, RANDOM_CHOICES));
-        }
-        preferred
-    }
-
     /// Returns the untried servers that are neither ejected nor backing off, or those that are only
     /// ejected if there are no others.
-    fn eligible_servers<'a>(
+    pub(crate) fn eligible_servers<'a>(
         &'a self,
         request: &'a PlacementRequest,
         now: Duration,
@@ -153,7 +120,6 @@
                     predicted_ms: 0.0,
                     prefill_tokens: 0,
                     cached_tokens: 0,
-                    used_at: None,
                     queue_ms: 0.0,
                     rejection,
                 }
@@ -166,29 +132,17 @@
         request: &PlacementRequest,
         prompt: &Prompt,
         servers: &[&'a Server],
+        ranked: &[ServerKey],
+        max_cached_tokens: u64,
     ) -> Vec<Candidate<'a>> {
         let shared_tokens: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-        let cached_by_server: Vec<u64> = servers
-            .iter()
-            .map(|server| self.cached_tokens(server.key, prompt))
-            .collect();
-        let max_cached_tokens = cached_by_server.iter().copied().max().unwrap_or(0);
         let shared_prefill_ms = shared_tokens as f64 / self.tuning.prefill_tokens_per_ms;
-        let rendezvous_order = prompt.last_shared().map_or_else(Vec::new, |part| {
-            rendezvous_order(part.id, servers, RANKED_ENGINES)
-        });
         servers
             .iter()
-            .zip(cached_by_server)
-            .map(|(server, cached_tokens)| {
-                let mut candidate = self.engine_candidate(
-                    request,
-                    prompt,
-                    server,
-                    cached_tokens,
-                    max_cached_tokens,
-                );
-                let rank = rendezvous_order
+            .map(|server| {
+                let mut candidate =
+                    self.engine_candidate(request, prompt, server, max_cached_tokens);
+                let rank = ranked
                     .iter()
                     .position(|key| *key == server.key)
                     .unwrap_or(RANKED_ENGINES);
@@ -203,9 +157,9 @@
         request: &PlacementRequest,
         prompt: &Prompt,
         server: &'a Server,
-        cached_tokens: u64,
         max_cached_tokens: u64,
     ) -> Candidate<'a> {
+        let cached_tokens = self.cached_tokens(server.key, prompt);
         let load = self.total_load(server.key);
         let uncached_tokens = prompt.tokens.saturating_sub(cached_tokens);
         let fetched_tokens = if request.can_fetch {
@@ -233,7 +187,6 @@
             predicted_ms,
             prefill_tokens,
             cached_tokens,
-            used_at: self.used_at(server.key, prompt),
             queue_ms,
             rejection: self.rejection(request, prompt, server, load, queue_ms, predicted_ms),
         }
@@ -256,6 +209,21 @@
         cost_ms
     }
 
+    /// Returns the engine with most of a prompt cached, and how many tokens. Of those with equally
+    /// many, the one that used the parts last is the least likely to have evicted them.
+    fn fetch_source<'a>(
+        &self,
+        prompt: &Prompt,
+        servers: &[&'a Server],
+    ) -> Option<(&'a Server, u64)> {
+        servers
+            .iter()
+            .map(|server| (*server, self.cached_tokens(server.key, prompt)))
+            .max_by_key(|(server, cached_tokens)| {
+                (*cached_tokens, self.used_at(server.key, prompt))
+            })
+    }
+
     fn cached_tokens(&self, key: ServerKey, prompt: &Prompt) -> u64 {
         self.states
             .get(&key)
@@ -289,3 +257,11 @@
         }
     }
 }
+
+/// Returns the engines that are preferred for the last shared part of a prompt, the most preferred
+/// first.
+pub(crate) fn ranked_engines(prompt: &Prompt, servers: &[&Server]) -> Vec<ServerKey> {
+    prompt.last_shared().map_or_else(Vec::new, |part| {
+        rendezvous_order(part.id, servers, RANKED_ENGINES)
+    })
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,12 +10,14 @@
 mod convert;
 mod health;
 mod load;
+mod part_directory;
 mod peers;
 mod placement_request;
 mod placer;
 mod prompt;
 mod registry;
 mod retired;
+mod sample;
 mod score;
 mod server;
 mod shares;
@@ -27,11 +29,13 @@
     connections::ConnectionLimits,
     health::{Health, ServerOutcome},
     load::Load,
+    part_directory::{CACHE_LIFETIME, PartDirectory, PartHolder},
     peers::{PeerReport, Peers},
     placement_request::{AdmissionClass, Congestion, Placement, PlacementError, PlacementRequest},
-    placer::Placer,
+    placer::{Placer, ReportedParts},
     prompt::{Part, PartId, Prompt},
     registry::Registry,
+    score::rendezvous_score,
     server::{Server, ServerId, ServerKey},
     shares::{RatesByWorkspace, Shares, WorkspaceRates, max_min},
     tuning::{RunningBound, Tuning},
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -6,12 +6,17 @@
     std::{collections::HashMap, time::Duration},
 };
 
+/// Time for which an answer of a server's owner is used.
+const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
+
 /// A report from one router. Entries replace earlier ones with the same key; entries not included
-/// keep their value, unless `is_full` is set.
+/// keep their value, unless the report replaces all of its kind.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PeerReport {
-    /// Whether this report replaces all earlier entries of the router.
-    pub is_full: bool,
+    /// Whether the loads replace all earlier ones of the router.
+    pub replaces_loads: bool,
+    /// Whether the rates replace all earlier ones of the router.
+    pub replaces_rates: bool,
     /// Load that the router has on each server.
     pub loads: Vec<(ServerKey, Load)>,
     /// Requested and served rates of each workspace at the router.
@@ -30,9 +35,17 @@
 pub struct Peers {
     live: HashMap<HostId, Peer>,
     totals: HashMap<ServerKey, Load>,
+    /// Loads by answers of the servers' owners, without those of this router.
+    answers: HashMap<ServerKey, Answer>,
     peer_timeout: Duration,
 }
 
+#[derive(Debug)]
+struct Answer {
+    load: Load,
+    received_at: Duration,
+}
+
 impl Peers {
     /// Creates a view without peers. Routers that send no report for longer than `peer_timeout` are
     /// removed by [`Peers::expire`].
@@ -41,18 +54,51 @@
         Self {
             live: HashMap::new(),
             totals: HashMap::new(),
+            answers: HashMap::new(),
             peer_timeout,
         }
     }
 
+    /// Sets the time without reports after which a router is removed.
+    pub fn set_timeout(&mut self, peer_timeout: Duration) {
+        self.peer_timeout = peer_timeout;
+    }
+
+    /// Records the load that all other routers have on a server, as its owner knows it. Replaces
+    /// the sum of the reports received here.
+    pub fn on_answer(&mut self, server: ServerKey, load: Load, now: Duration) {
+        let answer = Answer {
+            load,
+            received_at: now,
+        };
+        self.answers.insert(server, answer);
+    }
+
+    /// Forgets the answer for a server, because this router owns it.
+    pub fn forget_answer(&mut self, server: ServerKey) {
+        self.answers.remove(&server);
+    }
+
+    /// Returns the load on a server that one router has reported here.
+    #[must_use]
+    pub fn reported_load(&self, host: HostId, server: ServerKey) -> Load {
+        self.live
+            .get(&host)
+            .and_then(|peer| peer.loads.get(&server))
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Applies a router's report.
     pub fn on_report(&mut self, host: HostId, report: &PeerReport, now: Duration) {
         let peer = self.live.entry(host).or_default();
         peer.updated_at = now;
-        if report.is_full {
+        if report.replaces_loads {
             for (server, load) in peer.loads.drain() {
                 subtract(&mut self.totals, server, load);
             }
+        }
+        if report.replaces_rates {
             peer.rates.clear();
         }
         for &(server, load) in &report.loads {
@@ -66,6 +112,8 @@
 
     /// Removes routers whose last report is older than the timeout.
     pub fn expire(&mut self, now: Duration) {
+        self.answers
+            .retain(|_, answer| now.saturating_sub(answer.received_at) <= ANSWER_LIFETIME);
         let peer_timeout = self.peer_timeout;
         let totals = &mut self.totals;
         self.live.retain(|_, peer| {
@@ -82,7 +130,10 @@
     /// Returns the load that the other routers have on a server.
     #[must_use]
     pub fn load(&self, server: ServerKey) -> Load {
-        self.totals.get(&server).copied().unwrap_or_default()
+        match self.answers.get(&server) {
+            Some(answer) => answer.load,
+            None => self.totals.get(&server).copied().unwrap_or_default(),
+        }
     }
 
     /// Returns the requested and served rates of each workspace, summed over the other routers.
--- a/crates/place/src/placement_request.rs
+++ b/crates/place/src/placement_request.rs
@@ -46,6 +46,10 @@
     pub min_objective: Duration,
     /// Failure domain of the router.
     pub domain: &'a str,
+    /// Servers to choose from; all of the service if none.
+    pub sample: Option<&'a [ServerKey]>,
+    /// Random number of the request, by which its samples differ from those of other requests.
+    pub seed: u64,
     /// Servers on which an attempt of this request has failed.
     pub tried: &'a [ServerKey],
     /// Determines the capacity bounds that apply.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -5,11 +5,14 @@
         CacheView, ConnectionLimits, Health, Load, Part, Peers, Placement, Prompt, Registry,
         Server, ServerKey, ServerOutcome, Tuning, convert::fraction_of,
     },
+    baobab_unit::HostId,
     std::{collections::HashMap, time::Duration},
 };
 
 /// Weight of the newest first event in an engine's exponentially weighted slowdown.
 const SLOWDOWN_EWMA_WEIGHT: f64 = 0.1;
+/// Maximum number of used parts that wait to be reported; further ones are not reported.
+const MAX_UNREPORTED_PARTS: usize = 2048;
 /// Maximum time for which a server can ask for no requests.
 const MAX_BACKOFF: Duration = Duration::from_mins(5);
 /// Bounds of an engine's slowdown: actual over predicted time to first event.
@@ -49,6 +52,16 @@
     pub(crate) tuning: Tuning,
     pub(crate) states: HashMap<ServerKey, ServerState>,
     unreported_parts: Vec<(ServerKey, Part)>,
+    reported_parts: ReportedParts,
+}
+
+/// Which used parts of a prompt are reported to other routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportedParts {
+    /// All shared parts.
+    Shared,
+    /// The last shared part; an engine that has it cached has those before it.
+    LastShared,
 }
 
 impl Placer {
@@ -61,9 +74,15 @@
             tuning,
             states: HashMap::new(),
             unreported_parts: Vec::new(),
+            reported_parts: ReportedParts::Shared,
         }
     }
 
+    /// Sets which used parts of a prompt are reported to other routers.
+    pub fn set_reported_parts(&mut self, reported_parts: ReportedParts) {
+        self.reported_parts = reported_parts;
+    }
+
     /// Records that a request was sent to a server. Returns the load to release when it ends.
     pub fn on_sent(
         &mut self,
@@ -85,7 +104,12 @@
         };
         let shared_count = prompt.shared().len();
         for (index, part) in prompt.parts.iter().enumerate() {
-            if state.cache.touch(*part, now) && index < shared_count {
+            let is_reported = match self.reported_parts {
+                ReportedParts::Shared => index < shared_count,
+                ReportedParts::LastShared => index + 1 == shared_count,
+            };
+            let is_used = state.cache.touch(*part, now);
+            if is_used && is_reported && self.unreported_parts.len() < MAX_UNREPORTED_PARTS {
                 self.unreported_parts.push((key, *part));
             }
         }
@@ -167,6 +191,22 @@
             .filter(|remaining| !remaining.is_zero())
     }
 
+    /// Returns the load that all routers but one have on a server, as far as it was reported here.
+    #[must_use]
+    pub fn load_without(&self, host: HostId, key: ServerKey) -> Load {
+        let mut load = self.total_load(key);
+        load -= self.peers.reported_load(host, key);
+        load
+    }
+
+    /// Forgets the prompt parts that engines have not used for longer than `lifetime`. For routers
+    /// that learn only of some uses, so that the parts' eviction does not follow from the others.
+    pub fn expire_parts(&mut self, lifetime: Duration, now: Duration) {
+        for state in self.states.values_mut() {
+            state.cache.expire(lifetime, now);
+        }
+    }
+
     /// Removes and returns up to `max` shared parts that engines have used and that are not yet
     /// reported to the other routers.
     pub fn take_unreported_parts(&mut self, max: usize) -> Vec<(ServerKey, Part)> {
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -64,6 +64,8 @@
         objective: OBJECTIVE,
         min_objective: MIN_OBJECTIVE,
         domain: "north",
+        sample: None,
+        seed: 1,
         tried: &[],
         admission_class,
         can_fetch: true,
@@ -108,7 +110,8 @@
     let first = send(&mut placer, &prompt(7, 100, 6_000)).unwrap();
     // Another router reports a high load on that engine.
     let report = PeerReport {
-        is_full: true,
+        replaces_loads: true,
+        replaces_rates: true,
         loads: vec![(
             first.server.key,
             Load {
@@ -227,7 +230,8 @@
 fn a_request_is_refused_while_engine_memory_is_full() {
     let mut placer = placer(1);
     let report = PeerReport {
-        is_full: true,
+        replaces_loads: true,
+        replaces_rates: true,
         loads: vec![(
             1,
             Load {
@@ -246,7 +250,8 @@
 fn the_load_of_a_silent_router_expires() {
     let mut placer = placer(1);
     let report = PeerReport {
-        is_full: true,
+        replaces_loads: true,
+        replaces_rates: true,
         loads: vec![(
             1,
             Load {
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -73,6 +73,7 @@
         caller,
         prompt: request_headers.prompt,
         is_late: timeout < route.timeout.mul_f64(FIRST_ATTEMPT_TIMEOUT_FRACTION),
+        seed: core.random_number(),
         arrived,
         deadline: arrived + timeout,
         charged_as: Cell::new(None),
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -2,16 +2,17 @@
 
 use {
     crate::{
-        gossip::{Outbox, PeerDirectory},
+        gossip::{GossipSocket, Outbox, PeerDirectory},
         header_codec::HeaderCodec,
         metrics::Metrics,
         overload::Overload,
+        owners::Owners,
         pool::ConnectionPool,
         settings::{Bounds, Settings},
         shared::Shared,
         shared_tables::TABLES,
     },
-    baobab_place::{Peers, Placer, Registry, RetryBudget, Shares},
+    baobab_place::{PartDirectory, Peers, Placer, Registry, RetryBudget, Shares},
     baobab_routing::{ActiveConfiguration, Configuration, ConfirmationState},
     baobab_watch::suspension_clock,
     rand::{SeedableRng, rngs::SmallRng},
@@ -24,8 +25,9 @@
     tokio::{sync::Notify, time::Instant},
 };
 
-/// Time without reports after which another router counts as gone. A few reports may be lost.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Minimum time without reports after which another router counts as gone. A few reports may be
+/// lost.
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Fraction of the fleet's retry allowance that is divided among the routers, since routers start
 /// and stop within a window.
 const RETRY_ALLOWANCE_FRACTION: f64 = 0.6;
@@ -60,6 +62,16 @@
     pub shares: RefCell<Shares>,
     /// The other routers.
     pub peer_directory: RefCell<PeerDirectory>,
+    /// Socket for gossip.
+    pub socket: GossipSocket,
+    /// Questions and reports to the owners of servers.
+    pub owners: RefCell<Owners>,
+    /// Where the prompt parts that this router owns are cached.
+    pub part_directory: RefCell<PartDirectory>,
+    /// Wakes the gossip task before its interval ends.
+    pub gossip_now: Notify,
+    /// Wakes the task that reports changed loads.
+    pub loads_changed: Notify,
     /// Recent changes of the store's tables, for gossip.
     pub outboxes: RefCell<[Outbox; TABLES]>,
     /// Connections to backend servers.
@@ -90,7 +102,12 @@
 impl Core {
     /// Creates the state of a router without a configuration, servers or peers.
     #[must_use]
-    pub fn new(settings: Settings, shared: Shared, header_codec: Box<dyn HeaderCodec>) -> Self {
+    pub fn new(
+        settings: Settings,
+        shared: Shared,
+        header_codec: Box<dyn HeaderCodec>,
+        socket: GossipSocket,
+    ) -> Self {
         let bounds = settings.bounds.clone();
         let placer = Placer::new(
             Registry::new(bounds.registry_settle),
@@ -102,6 +119,11 @@
             placer: RefCell::new(placer),
             shares: RefCell::new(Shares::new(Duration::ZERO)),
             peer_directory: RefCell::new(PeerDirectory::new(&settings.host)),
+            socket,
+            owners: RefCell::default(),
+            part_directory: RefCell::default(),
+            gossip_now: Notify::new(),
+            loads_changed: Notify::new(),
             outboxes: RefCell::default(),
             pool: ConnectionPool::default(),
             metrics: Metrics::new(),
@@ -199,6 +221,13 @@
         is_allowed
     }
 
+    /// Returns a random number.
+    #[must_use]
+    pub fn random_number(&self) -> u64 {
+        use rand::Rng;
+        self.random.borrow_mut().random()
+    }
+
     /// Returns a random number in `0.0..1.0`.
     #[must_use]
     pub fn random_fraction(&self) -> f64 {
--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -7,27 +7,36 @@
         problem::{Problem, Reason},
         retry_after::{RefusalCause, retry_after},
     },
-    crate::core::Core,
+    crate::{core::Core, loads},
     baobab_place::{AdmissionClass, Congestion, Placement, PlacementError},
     baobab_unit::millis,
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, timeout_at},
+    tokio::time::{Instant, sleep_until, timeout_at},
 };
 
 /// Fraction of the objective for which a request may wait for capacity: beyond an eighth, waiting
 /// costs the caller more than an early refusal.
 const MAX_WAIT_OBJECTIVE_FRACTION: f64 = 0.115;
+/// Delay before another sample of servers is asked for their load.
+const NEXT_SAMPLE_DELAY: Duration = Duration::from_millis(15);
 /// Delay before a retry if no server can be used: about the interval between announcements.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(700);
 
 /// Chooses a server; waits briefly if none has capacity.
 pub async fn place(core: &Rc<Core>, job: &Job, attempts: &Attempts) -> Result<Placement, Problem> {
     let wait_until = job.arrived + job.route.objective.mul_f64(MAX_WAIT_OBJECTIVE_FRACTION);
+    let mut round = 0;
     loop {
         let admission_class = admission_class(core, job);
         let request =
             job.placement_request(&core.settings.domain, &attempts.tried, admission_class);
-        let result = core.placer.borrow().place(&request, core.now());
+        let asks_owners = loads::asks_owners(core);
+        let result = if asks_owners {
+            loads::place(core, &request, round).await
+        } else {
+            core.placer.borrow().place(&request, core.now())
+        };
+        round += 1;
         match result {
             Ok(placement) => {
                 charge(core, job, admission_class);
@@ -48,7 +57,11 @@
                 if Instant::now() >= wait_until {
                     return Err(refusal(core, job, admission_class, congestion));
                 }
-                let _ = timeout_at(wait_until, core.capacity_freed.notified()).await;
+                if asks_owners {
+                    sleep_until(wait_until.min(Instant::now() + NEXT_SAMPLE_DELAY)).await;
+                } else {
+                    let _ = timeout_at(wait_until, core.capacity_freed.notified()).await;
+                }
             }
         }
     }
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -51,6 +51,8 @@
     pub prompt: Option<Prompt>,
     /// Whether the caller has waited elsewhere for so long that the response will be late.
     pub is_late: bool,
+    /// Random number by which its samples of servers differ from those of other requests.
+    pub seed: u64,
     /// Arrival of the head.
     pub arrived: Instant,
     /// When the response must be complete.
@@ -103,6 +105,8 @@
             objective: self.route.objective,
             min_objective: self.min_objective,
             domain,
+            sample: None,
+            seed: self.seed,
             tried,
             admission_class,
             can_fetch: self
--- a/crates/relay/src/forward/load_guard.rs
+++ b/crates/relay/src/forward/load_guard.rs
@@ -30,6 +30,7 @@
         let load = placer.on_sent(&placement, job.prompt.as_ref(), now);
         let limits = placer.connection_limits(&placement.server, job.max_connections);
         drop(placer);
+        core.loads_changed.notify_one();
         Self {
             core: Rc::clone(core),
             server: placement.server,
@@ -50,6 +51,7 @@
             self.predicted_first_event,
             after,
         );
+        self.core.loads_changed.notify_one();
         self.core.capacity_freed.notify_one();
     }
 
@@ -76,6 +78,7 @@
                 .inc();
             log::info!(server = self.server.id.as_str(), outcome:? = self.outcome; "server is ejected");
         }
+        self.core.loads_changed.notify_one();
         self.core.capacity_freed.notify_one();
     }
 }
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -1,7 +1,7 @@
 //! Gossip message of one router, and its wire format.
 
 use {
-    baobab_place::{Load, Part, PeerReport, ServerKey, WorkspaceRates},
+    baobab_place::{Load, Part, PartId, PeerReport, ServerKey, WorkspaceRates},
     baobab_routing::ConfigurationVersion,
     baobab_unit::{WorkspaceId, millis},
     baobab_watch::{Change, Row, TableDelta},
@@ -27,6 +27,50 @@
     pub delta: TableDelta,
 }
 
+/// Asks a router for the load on servers that it owns, and where a prompt part that it owns is
+/// cached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadQuery {
+    /// Number by which the answer is recognised.
+    pub number: QueryNumber,
+    /// The servers.
+    pub servers: Vec<ServerKey>,
+    /// Last shared part of the prompt that is to be placed.
+    pub part: Option<PartId>,
+}
+
+/// Answer to a [`LoadQuery`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadAnswer {
+    /// Number of the query.
+    pub number: QueryNumber,
+    /// The servers of the query.
+    pub servers: Vec<ServerAnswer>,
+    /// The engines that have the part cached, the last user first.
+    pub holders: Vec<HolderAnswer>,
+}
+
+/// An engine that has the part of a query cached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HolderAnswer {
+    /// The engine.
+    pub server: ServerKey,
+    /// Time since the part's last use.
+    pub age: Duration,
+}
+
+/// What the owner of a server knows about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerAnswer {
+    /// The server.
+    pub server: ServerKey,
+    /// Load from all routers but the one that asked.
+    pub load: Load,
+}
+
+/// Number of a query within one run of a router.
+pub type QueryNumber = u32;
+
 /// Content of one datagram.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct GossipMessage {
@@ -38,6 +82,10 @@
     pub confirmation: Option<GossipConfirmation>,
     /// Changes of the store's tables.
     pub tables: Vec<TableUpdate>,
+    /// Question to the receiver.
+    pub query: Option<LoadQuery>,
+    /// Answer to a question of the receiver.
+    pub answer: Option<LoadAnswer>,
 }
 
 /// Confirmation by the store that a version is the newest one, as routers exchange it: without a
@@ -76,11 +124,34 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct WireGossipMessage {
     is_whole: bool,
+    has_all_claims: bool,
     loads: Vec<WireLoad>,
     claims: Vec<WireWorkspaceRates>,
     parts: Vec<WirePart>,
     confirmed: Option<WireGossipConfirmation>,
     tables: Vec<WireTable>,
+    query: Option<WireLoadQuery>,
+    answer: Option<WireLoadAnswer>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireLoadQuery {
+    number: u32,
+    servers: Vec<u32>,
+    part: Option<u64>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireLoadAnswer {
+    number: u32,
+    loads: Vec<WireLoad>,
+    holders: Vec<WireHolder>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireHolder {
+    server: u32,
+    age_ms: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -107,7 +178,8 @@
 impl From<&GossipMessage> for WireGossipMessage {
     fn from(message: &GossipMessage) -> Self {
         Self {
-            is_whole: message.report.is_full,
+            is_whole: message.report.replaces_loads,
+            has_all_claims: message.report.replaces_rates,
             loads: message.report.loads.iter().map(WireLoad::from).collect(),
             claims: message
                 .report
@@ -118,6 +190,8 @@
             parts: message.parts.iter().map(WirePart::from).collect(),
             confirmed: message.confirmation.map(WireGossipConfirmation::from),
             tables: message.tables.iter().map(WireTable::from).collect(),
+            query: message.query.as_ref().map(WireLoadQuery::from),
+            answer: message.answer.as_ref().map(WireLoadAnswer::from),
         }
     }
 }
@@ -126,13 +200,87 @@
     fn from(wire: WireGossipMessage) -> Self {
         Self {
             report: PeerReport {
-                is_full: wire.is_whole,
+                replaces_loads: wire.is_whole,
+                replaces_rates: wire.has_all_claims,
                 loads: wire.loads.into_iter().map(From::from).collect(),
                 rates: wire.claims.into_iter().map(From::from).collect(),
             },
             parts: wire.parts.into_iter().map(From::from).collect(),
             confirmation: wire.confirmed.map(GossipConfirmation::from),
             tables: wire.tables.into_iter().map(TableUpdate::from).collect(),
+            query: wire.query.map(LoadQuery::from),
+            answer: wire.answer.map(LoadAnswer::from),
+        }
+    }
+}
+
+impl From<&LoadQuery> for WireLoadQuery {
+    fn from(query: &LoadQuery) -> Self {
+        Self {
+            number: query.number,
+            servers: query.servers.clone(),
+            part: query.part,
+        }
+    }
+}
+
+impl From<WireLoadQuery> for LoadQuery {
+    fn from(wire: WireLoadQuery) -> Self {
+        Self {
+            number: wire.number,
+            servers: wire.servers,
+            part: wire.part,
+        }
+    }
+}
+
+impl From<&LoadAnswer> for WireLoadAnswer {
+    fn from(answer: &LoadAnswer) -> Self {
+        Self {
+            number: answer.number,
+            loads: answer.servers.iter().map(WireLoad::from).collect(),
+            holders: answer.holders.iter().map(WireHolder::from).collect(),
+        }
+    }
+}
+
+impl From<WireLoadAnswer> for LoadAnswer {
+    fn from(wire: WireLoadAnswer) -> Self {
+        Self {
+            number: wire.number,
+            servers: wire.loads.into_iter().map(ServerAnswer::from).collect(),
+            holders: wire.holders.into_iter().map(HolderAnswer::from).collect(),
+        }
+    }
+}
+
+impl From<&ServerAnswer> for WireLoad {
+    fn from(answer: &ServerAnswer) -> Self {
+        Self::from(&(answer.server, answer.load))
+    }
+}
+
+impl From<WireLoad> for ServerAnswer {
+    fn from(wire: WireLoad) -> Self {
+        let (server, load) = wire.into();
+        Self { server, load }
+    }
+}
+
+impl From<&HolderAnswer> for WireHolder {
+    fn from(holder: &HolderAnswer) -> Self {
+        Self {
+            server: holder.server,
+            age_ms: millis(holder.age),
+        }
+    }
+}
+
+impl From<WireHolder> for HolderAnswer {
+    fn from(wire: WireHolder) -> Self {
+        Self {
+            server: wire.server,
+            age: Duration::from_millis(wire.age_ms),
         }
     }
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -4,10 +4,15 @@
 mod outbox;
 mod peer_directory;
 mod seal;
+mod socket;
 
 pub use {
-    message::{GossipConfirmation, GossipMessage, PartUpdate, TableUpdate},
+    message::{
+        GossipConfirmation, GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, PartUpdate,
+        QueryNumber, ServerAnswer, TableUpdate,
+    },
     outbox::Outbox,
     peer_directory::PeerDirectory,
-    seal::{PeerKey, SealError, Sender, seal},
+    seal::PeerKey,
+    socket::GossipSocket,
 };
--- a/crates/relay/src/gossip/peer_directory.rs
+++ b/crates/relay/src/gossip/peer_directory.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        PeerKey, SealError,
+        PeerKey,
         message::GossipMessage,
-        seal::{Sender, open},
+        seal::{SealError, Sender, open},
     },
     crate::PeerHost,
+    baobab_place::{PartId, ServerKey, rendezvous_score},
     baobab_unit::{HostId, Window, id_of},
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
@@ -125,6 +126,36 @@
         destinations
     }
 
+    /// Returns the router that owns a server: it keeps the load of all routers on it. None if that
+    /// is this router.
+    #[must_use]
+    pub fn server_owner(&self, server: ServerKey, now: Duration) -> Option<HostId> {
+        self.owner(|host| rendezvous_score(u64::from(host), server), now)
+    }
+
+    /// Returns the router that owns a prompt part: it keeps where the part is cached. None if that
+    /// is this router.
+    #[must_use]
+    pub fn part_owner(&self, part: PartId, now: Duration) -> Option<HostId> {
+        self.owner(|host| rendezvous_score(part, host), now)
+    }
+
+    fn owner(&self, score: impl Fn(HostId) -> u64, now: Duration) -> Option<HostId> {
+        let best = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.is_silent(now))
+            .map(|(host, _)| (score(*host), *host))
+            .max()?;
+        (best > (score(self.own_host), self.own_host)).then_some(best.1)
+    }
+
+    /// Returns the address of a router.
+    #[must_use]
+    pub fn address(&self, host: HostId) -> Option<SocketAddr> {
+        self.entries.get(&host).map(|entry| entry.peer.address)
+    }
+
     /// Verifies and decodes a datagram.
     ///
     /// # Errors
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,9 +9,11 @@
 mod gossip;
 mod header_codec;
 mod identity;
+mod loads;
 mod metrics;
 mod operators;
 mod overload;
+mod owners;
 mod pool;
 mod relay;
 mod settings;
@@ -22,12 +24,13 @@
 pub use {
     command::{Command, PeerHost},
     error::RelayError,
-    gossip::{Outbox, PeerKey},
+    gossip::{HolderAnswer, LoadAnswer, LoadQuery, Outbox, PeerKey, ServerAnswer},
     header_codec::{
         ForwardHeaders, HeaderCodec, HeaderError, RequestHeaders, ResponseOrigin, ServerNotices,
     },
     identity::Identity,
     overload::Overload,
+    owners::{OwnerReport, OwnerReports, Owners, group_by_owner},
     relay::{Handle, spawn},
     settings::{Bounds, Settings},
     shared::Shared,
--- /dev/null
+++ b/crates/relay/src/loads.rs
@@ -0,0 +1,249 @@
+//! Exchange of loads with the owners of servers.
+
+use {
+    crate::{
+        core::Core,
+        gossip::{GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, PartUpdate, ServerAnswer},
+        owners::{OwnerReport, group_by_owner},
+    },
+    baobab_place::{
+        Part, PartHolder, PartId, PeerReport, Placement, PlacementError, PlacementRequest, Prompt,
+        ServerKey,
+    },
+    baobab_unit::HostId,
+    std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// Other routers from which on loads are exchanged with owners. In smaller fleets every router
+/// tells all others, several times during the prefill of one prompt.
+const MIN_PEERS: usize = 20;
+/// Time allowed for the answers of owners: a few round trips between failure domains.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Delay of a report, so that changes at the same time take one datagram.
+const REPORT_DELAY: Duration = Duration::from_millis(4);
+/// Maximum prompt parts per datagram.
+const MAX_PARTS: usize = 48;
+
+/// Whether this router asks the owners of servers for their load.
+pub fn asks_owners(core: &Core) -> bool {
+    core.peer_directory.borrow().fleet_size() > MIN_PEERS
+}
+
+/// Chooses a server among a sample, by the load that the owners know.
+pub async fn place(
+    core: &Core,
+    request: &PlacementRequest<'_>,
+    round: u32,
+) -> Result<Placement, PlacementError> {
+    let sample = core.placer.borrow().sample(request, round, core.now())?;
+    ask(core, request, &sample).await;
+    let request = PlacementRequest {
+        sample: Some(&sample),
+        ..*request
+    };
+    core.placer.borrow().place(&request, core.now())
+}
+
+/// Asks the owners of servers for their load, and the owner of the prompt's last shared part where it
+/// is cached, and waits for the answers.
+async fn ask(core: &Core, request: &PlacementRequest<'_>, servers: &[ServerKey]) {
+    let shared = request.prompt.map_or(&[][..], Prompt::shared);
+    let part = shared.last().map(|part| part.id);
+    let queries = queries(core, servers, part);
+    if let Some(part) = part {
+        let now = core.now();
+        let holders = core.part_directory.borrow().holders(part, now);
+        record_holders(core, shared, &holders);
+    }
+    if queries.is_empty() {
+        return;
+    }
+    let (number, answered) = core
+        .owners
+        .borrow_mut()
+        .open(shared.to_vec(), queries.len());
+    for (address, query) in queries {
+        let message = GossipMessage {
+            query: Some(LoadQuery { number, ..query }),
+            ..GossipMessage::default()
+        };
+        core.socket.send(&message, &[address], &core.metrics);
+    }
+    let outcome = match timeout(ANSWER_TIMEOUT, answered.notified()).await {
+        Ok(()) => "answered",
+        Err(_) => "timed_out",
+    };
+    core.owners.borrow_mut().close(number);
+    core.metrics
+        .load_queries
+        .with_label_values(&[outcome])
+        .inc();
+}
+
+/// Returns the questions by the address of the asked router, without a number.
+fn queries(
+    core: &Core,
+    servers: &[ServerKey],
+    part: Option<PartId>,
+) -> BTreeMap<SocketAddr, LoadQuery> {
+    let peer_directory = core.peer_directory.borrow();
+    let mut placer = core.placer.borrow_mut();
+    let now = core.now();
+    let mut queries: BTreeMap<SocketAddr, LoadQuery> = BTreeMap::new();
+    let empty = || LoadQuery {
+        number: 0,
+        servers: Vec::new(),
+        part: None,
+    };
+    for &server in servers {
+        let owner = peer_directory.server_owner(server, now);
+        match owner.and_then(|host| peer_directory.address(host)) {
+            Some(address) => queries
+                .entry(address)
+                .or_insert_with(empty)
+                .servers
+                .push(server),
+            None => placer.peers.forget_answer(server),
+        }
+    }
+    let part_owner = part.and_then(|part| peer_directory.part_owner(part, now));
+    if let Some(address) = part_owner.and_then(|host| peer_directory.address(host)) {
+        queries.entry(address).or_insert_with(empty).part = part;
+    }
+    queries
+}
+
+/// Answers a question of another router.
+pub fn on_query(core: &Core, host: HostId, query: &LoadQuery) {
+    let Some(address) = core.peer_directory.borrow().address(host) else {
+        return;
+    };
+    let now = core.now();
+    let placer = core.placer.borrow();
+    let server_answer = |&server: &ServerKey| ServerAnswer {
+        server,
+        load: placer.load_without(host, server),
+    };
+    let holders = query.part.map_or_else(Vec::new, |part| {
+        core.part_directory.borrow().holders(part, now)
+    });
+    let holder_answer = |holder: PartHolder| HolderAnswer {
+        server: holder.server,
+        age: now.saturating_sub(holder.used_at),
+    };
+    let message = GossipMessage {
+        answer: Some(LoadAnswer {
+            number: query.number,
+            servers: query.servers.iter().map(server_answer).collect(),
+            holders: holders.into_iter().map(holder_answer).collect(),
+        }),
+        ..GossipMessage::default()
+    };
+    core.socket.send(&message, &[address], &core.metrics);
+}
+
+/// Records that engines have the shared parts of a prompt cached. An engine that has the last one
+/// has those before it.
+fn record_holders(core: &Core, shared: &[Part], holders: &[PartHolder]) {
+    let mut placer = core.placer.borrow_mut();
+    for holder in holders {
+        for part in shared {
+            placer.on_peer_part(holder.server, *part, holder.used_at);
+        }
+    }
+}
+
+/// Applies an answer, if its question is still open.
+pub fn on_answer(core: &Core, answer: &LoadAnswer) {
+    let Some(parts) = core.owners.borrow_mut().on_answer(answer) else {
+        return;
+    };
+    let now = core.now();
+    let mut placer = core.placer.borrow_mut();
+    for server_answer in &answer.servers {
+        let load = server_answer.load;
+        placer.peers.on_answer(server_answer.server, load, now);
+    }
+    drop(placer);
+    let holders: Vec<PartHolder> = answer
+        .holders
+        .iter()
+        .map(|holder| PartHolder {
+            server: holder.server,
+            used_at: now.saturating_sub(holder.age),
+        })
+        .collect();
+    record_holders(core, &parts, &holders);
+}
+
+/// Reports changed loads to the owners until the task is dropped.
+pub async fn report_changes(core: Rc<Core>) {
+    loop {
+        core.loads_changed.notified().await;
+        if asks_owners(&core) {
+            sleep(REPORT_DELAY).await;
+            report(&core, false);
+        }
+    }
+}
+
+/// Reports this router's loads to the owners of the servers: the changed ones, or all of them.
+pub fn report(core: &Core, is_full: bool) {
+    let now = core.now();
+    let (loads, parts) = {
+        let mut placer = core.placer.borrow_mut();
+        (
+            placer.take_loads(is_full),
+            placer.take_unreported_parts(usize::MAX),
+        )
+    };
+    let peer_directory = core.peer_directory.borrow();
+    for (server, part) in &parts {
+        if peer_directory.part_owner(part.id, now).is_none() {
+            core.part_directory
+                .borrow_mut()
+                .on_use(part.id, *server, now);
+        }
+    }
+    let mut reports = group_by_owner(
+        loads,
+        &parts,
+        |server| peer_directory.server_owner(server, now),
+        |part| peer_directory.part_owner(part, now),
+    );
+    core.owners
+        .borrow_mut()
+        .complete(&mut reports, is_full, now);
+    for (host, report) in reports {
+        if let Some(address) = peer_directory.address(host) {
+            send_report(core, address, report, is_full);
+        }
+    }
+}
+
+fn send_report(core: &Core, address: SocketAddr, report: OwnerReport, is_full: bool) {
+    let mut parts: Vec<PartUpdate> = report
+        .parts
+        .into_iter()
+        .map(|(server, part)| PartUpdate { server, part })
+        .collect();
+    let mut message = GossipMessage {
+        report: PeerReport {
+            replaces_loads: is_full,
+            loads: report.loads,
+            ..PeerReport::default()
+        },
+        ..GossipMessage::default()
+    };
+    loop {
+        let rest = parts.split_off(parts.len().min(MAX_PARTS));
+        message.parts = parts;
+        core.socket.send(&message, &[address], &core.metrics);
+        if rest.is_empty() {
+            return;
+        }
+        parts = rest;
+        message = GossipMessage::default();
+    }
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -23,6 +23,8 @@
     pub retries_denied: IntCounterVec,
     /// Ejections of servers, by service.
     pub ejections: IntCounterVec,
+    /// Questions to the owners of servers, by outcome.
+    pub load_queries: IntCounterVec,
     /// Gossip datagrams, sent and received, by outcome.
     pub datagrams: IntCounterVec,
     /// Opened connections by service.
@@ -81,6 +83,11 @@
                 &["service"],
             ),
             ejections: counter("baobab_ejections_total", "Servers set aside.", &["service"]),
+            load_queries: counter(
+                "baobab_load_queries_total",
+                "Questions to the owners of servers for their load.",
+                &["outcome"],
+            ),
             datagrams: counter(
                 "baobab_datagrams_total",
                 "Datagrams of routers.",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,13 +6,15 @@
         command::Command,
         core::{Core, Phase},
         error::RelayError,
+        gossip::GossipSocket,
         header_codec::HeaderCodec,
         identity::Identity,
-        operators,
+        loads, operators,
         settings::Settings,
         shared::Shared,
         ticker,
     },
+    baobab_unit::id_of,
     flume::{Receiver, Sender},
     std::{
         rc::Rc,
@@ -20,7 +22,6 @@
         time::Duration,
     },
     tokio::{
-        net::UdpSocket,
         runtime::Builder,
         task::LocalSet,
         time::{Instant, sleep},
@@ -112,16 +113,16 @@
         let callers = callers::bind(settings.caller_address)?;
         let health = callers::bind(settings.health_address)?;
         let metrics = callers::bind(settings.metrics_address)?;
-        let socket = UdpSocket::bind(settings.gossip_address)
+        let socket = GossipSocket::bind(settings.gossip_address, id_of(&settings.host), identity)
             .await
             .map_err(|error| RelayError::Bind(settings.gossip_address, error))?;
-        let socket = Rc::new(socket);
-        let core = Rc::new(Core::new(settings, shared, header_codec));
+        let core = Rc::new(Core::new(settings, shared, header_codec, socket));
         tokio::task::spawn_local(callers::serve(Rc::clone(&core), callers));
         tokio::task::spawn_local(operators::serve(Rc::clone(&core), health));
         tokio::task::spawn_local(operators::serve(Rc::clone(&core), metrics));
-        tokio::task::spawn_local(ticker::run(Rc::clone(&core), Rc::clone(&socket), identity));
-        tokio::task::spawn_local(ticker::receive(Rc::clone(&core), socket));
+        tokio::task::spawn_local(ticker::run(Rc::clone(&core)));
+        tokio::task::spawn_local(ticker::receive(Rc::clone(&core)));
+        tokio::task::spawn_local(loads::report_changes(Rc::clone(&core)));
         let _ = started.send(Ok(()));
         run_commands(&core, commands).await;
         drain(&core).await;
@@ -150,6 +151,7 @@
         }
         Command::Confirm(confirmation) => {
             core.active_configuration.borrow_mut().confirm(confirmation);
+            gossip_as_reader(core);
         }
         Command::Servers(servers) => {
             log::info!(count = servers.len(); "list of servers received");
@@ -175,6 +177,9 @@
             *core.bounds.borrow_mut() = bounds;
         }
         Command::PublishTable(table, delta) => {
+            if !delta.changes.is_empty() {
+                gossip_as_reader(core);
+            }
             if let Some(outbox) = core.outboxes.borrow_mut().get_mut(usize::from(table)) {
                 outbox.put(delta, now);
             }
@@ -188,6 +193,14 @@
     }
 }
 
+/// Publishes at once what this router has read from the store, if it reads the tables for others.
+/// In a large fleet the others would otherwise read the store themselves before they are told.
+fn gossip_as_reader(core: &Core) {
+    if !core.shared.tables.follows_gossip() {
+        core.gossip_now.notify_one();
+    }
+}
+
 fn announce(core: &Core, server: baobab_place::Server) {
     let key = server.key;
     log::info!(
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -2,16 +2,16 @@
 
 use {
     crate::{
-        core::Core,
-        gossip::{GossipConfirmation, GossipMessage, PartUpdate, Sender, TableUpdate, seal},
-        identity::Identity,
+        core::{Core, PEER_TIMEOUT},
+        gossip::{GossipConfirmation, GossipMessage, PartUpdate, TableUpdate},
+        loads,
     },
-    baobab_place::PeerReport,
+    baobab_place::{CACHE_LIFETIME, PeerReport, ReportedParts},
     baobab_routing::Confirmation,
-    baobab_unit::{id_of, millis, to_u32},
+    baobab_unit::{millis, to_u32},
     baobab_watch::suspension_clock,
     std::{rc::Rc, time::Duration},
-    tokio::{net::UdpSocket, time::sleep},
+    tokio::time::sleep,
 };
 
 /// Minimum gossip interval: a few messages are sent during the prefill of one prompt.
@@ -32,10 +32,10 @@
 const TABLES_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of expiry of old state.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
-/// Largest datagram that no link fragments.
-const MAX_DATAGRAM_BYTES: usize = 1400;
-/// Maximum prompt parts per datagram, so that it stays within [`MAX_DATAGRAM_BYTES`].
+/// Maximum prompt parts per datagram, so that no link fragments it.
 const MAX_PARTS: usize = 24;
+/// Gossip intervals without a datagram after which another router counts as gone.
+const PEER_TIMEOUT_INTERVALS: u32 = 3;
 
 /// Fires at a fixed interval.
 struct Periodic {
@@ -61,8 +61,8 @@
 }
 
 /// Runs the periodic tasks until the task is dropped.
-pub async fn run(core: Rc<Core>, socket: Rc<UdpSocket>, identity: Identity) {
-    let mut number = 0;
+pub async fn run(core: Rc<Core>) {
+    let mut asked_owners = false;
     let mut last_sent_confirmation = None;
     let mut full_report = Periodic::every(FULL_REPORT_INTERVAL);
     let mut shares = Periodic::every(SHARES_INTERVAL);
@@ -72,20 +72,52 @@
     loop {
         let peer_count = peer_count(&core);
         let interval = MIN_GOSSIP_INTERVAL.max(GOSSIP_INTERVAL_PER_PEER * peer_count);
+        core.placer
+            .borrow_mut()
+            .peers
+            .set_timeout(PEER_TIMEOUT.max(interval * PEER_TIMEOUT_INTERVALS));
         rates.interval = RATES_INTERVAL.max(RATES_INTERVAL_PER_PEER * peer_count);
         let due_at = core.now() + interval;
-        sleep(interval).await;
+        tokio::select! {
+            () = sleep(interval) => {
+                let now = core.now();
+                record_delay(&core, now.saturating_sub(due_at), now);
+            }
+            () = core.gossip_now.notified() => tables.due_at = Duration::ZERO,
+        }
         let now = core.now();
-        record_delay(&core, now.saturating_sub(due_at), now);
         if shares.is_due(now) {
             refill_shares(&core, now);
         }
         if expiry.is_due(now) {
-            core.placer.borrow_mut().expire(now);
+            let mut placer = core.placer.borrow_mut();
+            placer.expire(now);
+            if loads::asks_owners(&core) {
+                placer.expire_parts(CACHE_LIFETIME, now);
+            }
+            drop(placer);
+            core.part_directory.borrow_mut().expire(now);
             core.pool.expire();
             update_preceding_routers(&core, now);
         }
-        let mut message = gossip_message(&core, full_report.is_due(now), rates.is_due(now));
+        let asks_owners = loads::asks_owners(&core);
+        core.placer.borrow_mut().set_reported_parts(if asks_owners {
+            ReportedParts::LastShared
+        } else {
+            ReportedParts::Shared
+        });
+        let is_full = full_report.is_due(now);
+        let mut message = if asks_owners {
+            if is_full {
+                loads::report(&core, true);
+            }
+            // Withdraws the loads that all routers were told before.
+            let withdraws = !asked_owners;
+            rates_message(&core, withdraws, is_full || rates.is_due(now))
+        } else {
+            gossip_message(&core, is_full, rates.is_due(now))
+        };
+        asked_owners = asks_owners;
         let confirmation = gossip_confirmation(&core);
         if tables.is_due(now) {
             message.tables = table_updates(&core, now);
@@ -97,17 +129,8 @@
         if message == GossipMessage::default() {
             continue;
         }
-        number += 1;
-        let sender = Sender {
-            host: id_of(&core.settings.host),
-            incarnation: identity.incarnation,
-            number,
-        };
-        let datagram = seal(sender, &message, &identity.key);
-        if datagram.len() > MAX_DATAGRAM_BYTES {
-            log::debug!(bytes = datagram.len(); "gossip message exceeds the datagram size");
-        }
-        send(&core, &socket, &datagram, now);
+        let destinations = core.peer_directory.borrow_mut().destinations(now);
+        core.socket.send(&message, &destinations, &core.metrics);
     }
 }
 
@@ -173,7 +196,8 @@
     let parts = placer.take_unreported_parts(MAX_PARTS);
     GossipMessage {
         report: PeerReport {
-            is_full,
+            replaces_loads: is_full,
+            replaces_rates: is_full,
             loads: placer.take_loads(is_full),
             rates,
         },
@@ -181,8 +205,25 @@
             .into_iter()
             .map(|(server, part)| PartUpdate { server, part })
             .collect(),
-        confirmation: None,
-        tables: Vec::new(),
+        ..GossipMessage::default()
+    }
+}
+
+/// Returns a message without loads and prompt parts, which only the owners of servers get.
+fn rates_message(core: &Core, withdraws_loads: bool, with_rates: bool) -> GossipMessage {
+    let rates = if with_rates {
+        core.shares.borrow().rates().into_iter().collect()
+    } else {
+        Vec::new()
+    };
+    GossipMessage {
+        report: PeerReport {
+            replaces_loads: withdraws_loads,
+            replaces_rates: with_rates,
+            loads: Vec::new(),
+            rates,
+        },
+        ..GossipMessage::default()
     }
 }
 
@@ -221,23 +262,12 @@
     }
 }
 
-fn send(core: &Core, socket: &UdpSocket, datagram: &[u8], now: Duration) {
-    let destinations = core.peer_directory.borrow_mut().destinations(now);
-    for destination in destinations {
-        let outcome = match socket.try_send_to(datagram, destination) {
-            Ok(_) => "sent",
-            Err(_) => "send_failed",
-        };
-        core.metrics.datagrams.with_label_values(&[outcome]).inc();
-    }
-}
-
 /// Receives and applies gossip until the task is dropped.
-pub async fn receive(core: Rc<Core>, socket: Rc<UdpSocket>) {
+pub async fn receive(core: Rc<Core>) {
     let mut buffer = vec![0; 64 * 1024];
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let length = match core.socket.receive(&mut buffer).await {
+            Ok(length) => length,
             Err(error) => {
                 // An ICMP error: an earlier datagram reached a closed port.
                 log::debug!("cannot receive a datagram: {error}");
@@ -253,9 +283,12 @@
             Ok((host, message)) => {
                 let mut placer = core.placer.borrow_mut();
                 placer.peers.on_report(host, &message.report, now);
+                let mut part_directory = core.part_directory.borrow_mut();
                 for update in message.parts {
                     placer.on_peer_part(update.server, update.part, now);
+                    part_directory.on_use(update.part.id, update.server, now);
                 }
+                drop(part_directory);
                 for table in message.tables {
                     core.shared.tables.deliver(table, now);
                 }
@@ -267,6 +300,12 @@
                     .with_label_values(&["received"])
                     .inc();
                 drop(placer);
+                if let Some(query) = message.query {
+                    loads::on_query(&core, host, &query);
+                }
+                if let Some(answer) = message.answer {
+                    loads::on_answer(&core, &answer);
+                }
                 core.capacity_freed.notify_one();
             }
             Err(error) => {
