Exchange workspaces' rates with owners, and heartbeats less often

Cause: after loads had owners, 295 routers still sent rates of some 60 workspaces to all others every 0.88 s: four fifths of the processor time of the mean router (0.0142 cores). The same interval drove the refill of shares and the detection of overload, which took some four seconds.

The task runs every 100 ms whatever the size of the fleet; only heartbeats and what the readers of the store publish go to all. An owner that misses two answers in a row owns nothing for two seconds. Owners are worked out four times a second, not for each question.

--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -6,8 +6,19 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Time for which an answer of a server's owner is used.
+/// Time for which an owner's answer is used.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
+/// Number of groups that workspaces are divided into; each has an owner in a large fleet.
+const WORKSPACE_GROUPS: u32 = 16;
+
+/// Group of workspaces with a common owner.
+pub type WorkspaceGroup = u32;
+
+/// Returns the group that a workspace belongs to.
+#[must_use]
+pub fn workspace_group(workspace: WorkspaceId) -> WorkspaceGroup {
+    workspace % WORKSPACE_GROUPS
+}
 
 /// A report from one router. Entries replace earlier ones with the same key; entries not included
 /// keep their value, unless the report replaces all of its kind.
@@ -30,6 +41,12 @@
     rates: RatesByWorkspace,
 }
 
+#[derive(Debug)]
+struct RateAnswer {
+    rates: RatesByWorkspace,
+    received_at: Duration,
+}
+
 /// Latest reports of the live routers and their sums.
 #[derive(Debug)]
 pub struct Peers {
@@ -37,6 +54,10 @@
     totals: HashMap<ServerKey, Load>,
     /// Loads by answers of the servers' owners, without those of this router.
     answers: HashMap<ServerKey, Answer>,
+    /// Sum of the rates of all live routers.
+    rate_totals: RatesByWorkspace,
+    /// Rates by answers of the workspaces' owners, without those of this router.
+    rate_answers: HashMap<WorkspaceGroup, RateAnswer>,
     peer_timeout: Duration,
 }
 
@@ -55,6 +76,8 @@
             live: HashMap::new(),
             totals: HashMap::new(),
             answers: HashMap::new(),
+            rate_totals: RatesByWorkspace::new(),
+            rate_answers: HashMap::new(),
             peer_timeout,
         }
     }
@@ -79,6 +102,43 @@
         self.answers.remove(&server);
     }
 
+    /// Records the rates that all other routers have for the workspaces of a group, as its owner
+    /// knows them. Replaces the sum of the reports received here.
+    pub fn on_rate_answer(
+        &mut self,
+        group: WorkspaceGroup,
+        rates: RatesByWorkspace,
+        now: Duration,
+    ) {
+        let answer = RateAnswer {
+            rates,
+            received_at: now,
+        };
+        self.rate_answers.insert(group, answer);
+    }
+
+    /// Forgets the answer for a group of workspaces, because this router owns it.
+    pub fn forget_rate_answer(&mut self, group: WorkspaceGroup) {
+        self.rate_answers.remove(&group);
+    }
+
+    /// Returns the rates of a group's workspaces that all routers but one have reported here.
+    #[must_use]
+    pub fn rates_without(&self, host: HostId, group: WorkspaceGroup) -> RatesByWorkspace {
+        let reported = self.live.get(&host).map(|peer| &peer.rates);
+        self.rate_totals
+            .iter()
+            .filter(|(workspace, _)| workspace_group(**workspace) == group)
+            .map(|(workspace, total)| {
+                let mut rates = *total;
+                if let Some(own) = reported.and_then(|reported| reported.get(workspace)) {
+                    rates -= *own;
+                }
+                (*workspace, rates)
+            })
+            .collect()
+    }
+
     /// Returns the load on a server that one router has reported here.
     #[must_use]
     pub fn reported_load(&self, host: HostId, server: ServerKey) -> Load {
@@ -99,7 +159,9 @@
             }
         }
         if report.replaces_rates {
-            peer.rates.clear();
+            for (workspace, rates) in peer.rates.drain() {
+                subtract_rates(&mut self.rate_totals, workspace, rates);
+            }
         }
         for &(server, load) in &report.loads {
             if let Some(previous) = peer.loads.insert(server, load) {
@@ -107,14 +169,22 @@
             }
             *self.totals.entry(server).or_default() += load;
         }
-        peer.rates.extend(report.rates.iter().copied());
+        for &(workspace, rates) in &report.rates {
+            if let Some(previous) = peer.rates.insert(workspace, rates) {
+                subtract_rates(&mut self.rate_totals, workspace, previous);
+            }
+            *self.rate_totals.entry(workspace).or_default() += rates;
+        }
     }
 
     /// Removes routers whose last report is older than the timeout.
     pub fn expire(&mut self, now: Duration) {
         self.answers
             .retain(|_, answer| now.saturating_sub(answer.received_at) <= ANSWER_LIFETIME);
+        self.rate_answers
+            .retain(|_, answer| now.saturating_sub(answer.received_at) <= ANSWER_LIFETIME);
         let peer_timeout = self.peer_timeout;
+        let rate_totals = &mut self.rate_totals;
         let totals = &mut self.totals;
         self.live.retain(|_, peer| {
             let is_live = now.saturating_sub(peer.updated_at) <= peer_timeout;
@@ -122,9 +192,13 @@
                 for (&server, &load) in &peer.loads {
                     subtract(totals, server, load);
                 }
+                for (&workspace, &rates) in &peer.rates {
+                    subtract_rates(rate_totals, workspace, rates);
+                }
             }
             is_live
         });
+        rate_totals.retain(|_, rates| rates.requested > 0.0 || rates.served > 0.0);
     }
 
     /// Returns the load that the other routers have on a server.
@@ -139,13 +213,18 @@
     /// Returns the requested and served rates of each workspace, summed over the other routers.
     #[must_use]
     pub fn rates(&self) -> RatesByWorkspace {
-        let mut sums = RatesByWorkspace::new();
-        for peer in self.live.values() {
-            for (&workspace, rates) in &peer.rates {
-                let sum = sums.entry(workspace).or_default();
-                sum.requested += rates.requested;
-                sum.served += rates.served;
-            }
+        let mut sums: RatesByWorkspace = self
+            .rate_totals
+            .iter()
+            .filter(|(workspace, _)| {
+                !self
+                    .rate_answers
+                    .contains_key(&workspace_group(**workspace))
+            })
+            .map(|(workspace, rates)| (*workspace, *rates))
+            .collect();
+        for answer in self.rate_answers.values() {
+            sums.extend(&answer.rates);
         }
         sums
     }
@@ -168,3 +247,9 @@
         *total -= load;
     }
 }
+
+fn subtract_rates(totals: &mut RatesByWorkspace, workspace: WorkspaceId, rates: WorkspaceRates) {
+    if let Some(total) = totals.get_mut(&workspace) {
+        *total -= rates;
+    }
+}
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -53,6 +53,8 @@
     pub(crate) states: HashMap<ServerKey, ServerState>,
     unreported_parts: Vec<(ServerKey, Part)>,
     reported_parts: ReportedParts,
+    /// Routers of the fleet, if known otherwise than by their reports.
+    fleet_size: usize,
 }
 
 /// Which used parts of a prompt are reported to other routers.
@@ -75,9 +77,15 @@
             states: HashMap::new(),
             unreported_parts: Vec::new(),
             reported_parts: ReportedParts::Shared,
+            fleet_size: 1,
         }
     }
 
+    /// Sets the number of routers in a fleet in which not all of them report to this one.
+    pub fn set_fleet_size(&mut self, fleet_size: usize) {
+        self.fleet_size = fleet_size;
+    }
+
     /// Sets which used parts of a prompt are reported to other routers.
     pub fn set_reported_parts(&mut self, reported_parts: ReportedParts) {
         self.reported_parts = reported_parts;
@@ -271,7 +279,8 @@
     /// server accepts from all routers together.
     #[must_use]
     pub fn connection_limits(&self, server: &Server, max_connections: u32) -> ConnectionLimits {
-        ConnectionLimits::new(server, max_connections, self.peers.len() + 1)
+        let fleet_size = self.fleet_size.max(self.peers.len() + 1);
+        ConnectionLimits::new(server, max_connections, fleet_size)
     }
 
     fn release(&mut self, key: ServerKey, load: Load) {
--- a/crates/place/src/shares.rs
+++ b/crates/place/src/shares.rs
@@ -7,7 +7,11 @@
 use {
     crate::AdmissionClass,
     baobab_unit::WorkspaceId,
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::HashMap,
+        ops::{AddAssign, SubAssign},
+        time::Duration,
+    },
 };
 
 /// Minimum time between two refills.
@@ -37,6 +41,21 @@
     pub served: f64,
 }
 
+impl AddAssign for WorkspaceRates {
+    fn add_assign(&mut self, other: Self) {
+        self.requested += other.requested;
+        self.served += other.served;
+    }
+}
+
+impl SubAssign for WorkspaceRates {
+    /// Rates stay at least zero, whatever the rounding errors.
+    fn sub_assign(&mut self, other: Self) {
+        self.requested = (self.requested - other.requested).max(0.0);
+        self.served = (self.served - other.served).max(0.0);
+    }
+}
+
 /// Rates by workspace.
 pub type RatesByWorkspace = HashMap<WorkspaceId, WorkspaceRates>;
 
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -1,7 +1,7 @@
 //! Gossip message of one router, and its wire format.
 
 use {
-    baobab_place::{Load, Part, PartId, PeerReport, ServerKey, WorkspaceRates},
+    baobab_place::{Load, Part, PartId, PeerReport, ServerKey, WorkspaceGroup, WorkspaceRates},
     baobab_routing::ConfigurationVersion,
     baobab_unit::{WorkspaceId, millis},
     baobab_watch::{Change, Row, TableDelta},
@@ -68,6 +68,15 @@
     pub load: Load,
 }
 
+/// Rates of a group's workspaces from all routers but the one that reported its own.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RateAnswer {
+    /// The group.
+    pub group: WorkspaceGroup,
+    /// Rates by workspace.
+    pub rates: Vec<(WorkspaceId, WorkspaceRates)>,
+}
+
 /// Number of a query within one run of a router.
 pub type QueryNumber = u32;
 
@@ -86,6 +95,10 @@
     pub query: Option<LoadQuery>,
     /// Answer to a question of the receiver.
     pub answer: Option<LoadAnswer>,
+    /// Groups of workspaces for which the receiver, as their owner, is asked for all rates.
+    pub rate_queries: Vec<WorkspaceGroup>,
+    /// Answers to questions of the receiver for rates.
+    pub rate_answers: Vec<RateAnswer>,
 }
 
 /// Confirmation by the store that a version is the newest one, as routers exchange it: without a
@@ -132,6 +145,14 @@
     tables: Vec<WireTable>,
     query: Option<WireLoadQuery>,
     answer: Option<WireLoadAnswer>,
+    claim_queries: Vec<u32>,
+    claim_answers: Vec<WireRateAnswer>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRateAnswer {
+    group: u32,
+    claims: Vec<WireWorkspaceRates>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -192,6 +213,12 @@
             tables: message.tables.iter().map(WireTable::from).collect(),
             query: message.query.as_ref().map(WireLoadQuery::from),
             answer: message.answer.as_ref().map(WireLoadAnswer::from),
+            claim_queries: message.rate_queries.clone(),
+            claim_answers: message
+                .rate_answers
+                .iter()
+                .map(WireRateAnswer::from)
+                .collect(),
         }
     }
 }
@@ -210,6 +237,30 @@
             tables: wire.tables.into_iter().map(TableUpdate::from).collect(),
             query: wire.query.map(LoadQuery::from),
             answer: wire.answer.map(LoadAnswer::from),
+            rate_queries: wire.claim_queries,
+            rate_answers: wire
+                .claim_answers
+                .into_iter()
+                .map(RateAnswer::from)
+                .collect(),
+        }
+    }
+}
+
+impl From<&RateAnswer> for WireRateAnswer {
+    fn from(answer: &RateAnswer) -> Self {
+        Self {
+            group: answer.group,
+            claims: answer.rates.iter().map(WireWorkspaceRates::from).collect(),
+        }
+    }
+}
+
+impl From<WireRateAnswer> for RateAnswer {
+    fn from(wire: WireRateAnswer) -> Self {
+        Self {
+            group: wire.group,
+            rates: wire.claims.into_iter().map(From::from).collect(),
         }
     }
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -9,10 +9,10 @@
 pub use {
     message::{
         GossipConfirmation, GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, PartUpdate,
-        QueryNumber, ServerAnswer, TableUpdate,
+        QueryNumber, RateAnswer, ServerAnswer, TableUpdate,
     },
     outbox::Outbox,
-    peer_directory::PeerDirectory,
+    peer_directory::{Owned, PeerDirectory},
     seal::PeerKey,
     socket::GossipSocket,
 };
--- a/crates/relay/src/gossip/peer_directory.rs
+++ b/crates/relay/src/gossip/peer_directory.rs
@@ -7,13 +7,22 @@
         seal::{SealError, Sender, open},
     },
     crate::PeerHost,
-    baobab_place::{PartId, ServerKey, rendezvous_score},
+    baobab_place::{PartId, ServerKey, WorkspaceGroup, rendezvous_score},
     baobab_unit::{HostId, Window, id_of},
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
-/// Time without datagrams after which a router counts as silent.
-const SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Minimum time without datagrams after which a router counts as silent.
+const MIN_SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Consecutive questions without an answer after which a router owns nothing for a while.
+const MAX_MISSED_ANSWERS: u32 = 2;
+/// How long that is, unless it sends a datagram.
+const UNRESPONSIVE_PERIOD: Duration = Duration::from_secs(2);
 /// Interval of datagrams to a silent router.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -23,11 +32,18 @@
     window: Window,
     last_received_at: Duration,
     last_sent_at: Duration,
+    missed_answers: u32,
+    last_missed_at: Duration,
 }
 
 impl PeerEntry {
-    fn is_silent(&self, now: Duration) -> bool {
-        now.saturating_sub(self.last_received_at) > SILENT_AFTER
+    fn is_silent(&self, silent_after: Duration, now: Duration) -> bool {
+        now.saturating_sub(self.last_received_at) > silent_after
+    }
+
+    fn is_unresponsive(&self, now: Duration) -> bool {
+        self.missed_answers >= MAX_MISSED_ANSWERS
+            && now.saturating_sub(self.last_missed_at) <= UNRESPONSIVE_PERIOD
     }
 }
 
@@ -36,6 +52,30 @@
 pub struct PeerDirectory {
     own_host: HostId,
     entries: BTreeMap<HostId, PeerEntry>,
+    silent_after: Duration,
+    /// Owners found since the last call of [`PeerDirectory::forget_owners`].
+    owners: RefCell<HashMap<Owned, Option<HostId>>>,
+}
+
+/// What has an owner among the routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Owned {
+    /// A backend server: the owner keeps the load of all routers on it.
+    Server(ServerKey),
+    /// A prompt part: the owner keeps where it is cached.
+    Part(PartId),
+    /// A group of workspaces: the owner keeps their rates at all routers.
+    Workspaces(WorkspaceGroup),
+}
+
+impl Owned {
+    fn score(self, host: HostId) -> u64 {
+        match self {
+            Self::Server(server) => rendezvous_score(u64::from(host), server),
+            Self::Part(part) => rendezvous_score(part, host),
+            Self::Workspaces(group) => rendezvous_score(u64::from(group), host),
+        }
+    }
 }
 
 impl PeerDirectory {
@@ -45,6 +85,8 @@
         Self {
             own_host: id_of(own_host),
             entries: BTreeMap::new(),
+            silent_after: MIN_SILENT_AFTER,
+            owners: RefCell::default(),
         }
     }
 
@@ -65,6 +107,8 @@
                 window: Window::default(),
                 last_received_at: now,
                 last_sent_at: now,
+                missed_answers: 0,
+                last_missed_at: Duration::ZERO,
             },
         );
     }
@@ -83,7 +127,8 @@
     pub fn merge(&mut self, peers: Vec<PeerHost>, now: Duration) {
         for peer in peers {
             let is_outdated = self.entries.get(&id_of(&peer.host)).is_some_and(|entry| {
-                entry.peer.incarnation > peer.incarnation && !entry.is_silent(now)
+                entry.peer.incarnation > peer.incarnation
+                    && !entry.is_silent(self.silent_after, now)
             });
             if !is_outdated {
                 self.insert(peer, now);
@@ -108,7 +153,7 @@
     pub fn preceding_routers(&self, now: Duration) -> usize {
         self.entries
             .range(..self.own_host)
-            .filter(|(_, entry)| !entry.is_silent(now))
+            .filter(|(_, entry)| !entry.is_silent(self.silent_after, now))
             .count()
     }
 
@@ -117,7 +162,9 @@
     pub fn destinations(&mut self, now: Duration) -> Vec<SocketAddr> {
         let mut destinations = Vec::with_capacity(self.entries.len());
         for entry in self.entries.values_mut() {
-            if entry.is_silent(now) && now.saturating_sub(entry.last_sent_at) < PROBE_INTERVAL {
+            if entry.is_silent(self.silent_after, now)
+                && now.saturating_sub(entry.last_sent_at) < PROBE_INTERVAL
+            {
                 continue;
             }
             entry.last_sent_at = now;
@@ -126,28 +173,46 @@
         destinations
     }
 
-    /// Returns the router that owns a server: it keeps the load of all routers on it. None if that
-    /// is this router.
-    #[must_use]
-    pub fn server_owner(&self, server: ServerKey, now: Duration) -> Option<HostId> {
-        self.owner(|host| rendezvous_score(u64::from(host), server), now)
+    /// Sets the time without datagrams after which a router counts as silent, if that is not too
+    /// short.
+    pub fn set_silent_after(&mut self, silent_after: Duration) {
+        self.silent_after = silent_after.max(MIN_SILENT_AFTER);
     }
 
-    /// Returns the router that owns a prompt part: it keeps where the part is cached. None if that
-    /// is this router.
+    /// Returns the router that owns something: by rendezvous hashing over the routers that are not
+    /// silent and answer. None if that is this router.
     #[must_use]
-    pub fn part_owner(&self, part: PartId, now: Duration) -> Option<HostId> {
-        self.owner(|host| rendezvous_score(part, host), now)
+    pub fn owner(&self, owned: Owned, now: Duration) -> Option<HostId> {
+        *self
+            .owners
+            .borrow_mut()
+            .entry(owned)
+            .or_insert_with(|| self.find_owner(owned, now))
     }
 
-    fn owner(&self, score: impl Fn(HostId) -> u64, now: Duration) -> Option<HostId> {
+    fn find_owner(&self, owned: Owned, now: Duration) -> Option<HostId> {
         let best = self
             .entries
             .iter()
-            .filter(|(_, entry)| !entry.is_silent(now))
-            .map(|(host, _)| (score(*host), *host))
+            .filter(|(_, entry)| {
+                !entry.is_silent(self.silent_after, now) && !entry.is_unresponsive(now)
+            })
+            .map(|(host, _)| (owned.score(*host), *host))
             .max()?;
-        (best > (score(self.own_host), self.own_host)).then_some(best.1)
+        (best > (owned.score(self.own_host), self.own_host)).then_some(best.1)
+    }
+
+    /// Makes later calls of [`PeerDirectory::owner`] consider the routers' present state.
+    pub fn forget_owners(&mut self) {
+        self.owners.get_mut().clear();
+    }
+
+    /// Records that a router has not answered a question in time.
+    pub fn on_missed_answer(&mut self, host: HostId, now: Duration) {
+        if let Some(entry) = self.entries.get_mut(&host) {
+            entry.missed_answers += 1;
+            entry.last_missed_at = now;
+        }
     }
 
     /// Returns the address of a router.
@@ -175,6 +240,7 @@
             return Err(SealError::Replayed);
         }
         entry.last_received_at = now;
+        entry.missed_answers = 0;
         Ok((sender.host, message))
     }
 
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -3,12 +3,15 @@
 use {
     crate::{
         core::Core,
-        gossip::{GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, PartUpdate, ServerAnswer},
+        gossip::{
+            GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, Owned, PartUpdate, RateAnswer,
+            ServerAnswer,
+        },
         owners::{OwnerReport, group_by_owner},
     },
     baobab_place::{
         Part, PartHolder, PartId, PeerReport, Placement, PlacementError, PlacementRequest, Prompt,
-        ServerKey,
+        ServerKey, WorkspaceGroup, workspace_group,
     },
     baobab_unit::HostId,
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -62,8 +65,11 @@
     let (number, answered) = core
         .owners
         .borrow_mut()
-        .open(shared.to_vec(), queries.len());
-    for (address, query) in queries {
+        .open(shared.to_vec(), queries.keys().copied().collect());
+    for (host, query) in queries {
+        let Some(address) = core.peer_directory.borrow().address(host) else {
+            continue;
+        };
         let message = GossipMessage {
             query: Some(LoadQuery { number, ..query }),
             ..GossipMessage::default()
@@ -74,42 +80,44 @@
         Ok(()) => "answered",
         Err(_) => "timed_out",
     };
-    core.owners.borrow_mut().close(number);
+    let missing = core.owners.borrow_mut().close(number);
+    let now = core.now();
+    for host in missing {
+        core.peer_directory.borrow_mut().on_missed_answer(host, now);
+    }
     core.metrics
         .load_queries
         .with_label_values(&[outcome])
         .inc();
 }
 
-/// Returns the questions by the address of the asked router, without a number.
+/// Returns the questions by the asked router, without a number.
 fn queries(
     core: &Core,
     servers: &[ServerKey],
     part: Option<PartId>,
-) -> BTreeMap<SocketAddr, LoadQuery> {
+) -> BTreeMap<HostId, LoadQuery> {
     let peer_directory = core.peer_directory.borrow();
     let mut placer = core.placer.borrow_mut();
     let now = core.now();
-    let mut queries: BTreeMap<SocketAddr, LoadQuery> = BTreeMap::new();
+    let mut queries: BTreeMap<HostId, LoadQuery> = BTreeMap::new();
     let empty = || LoadQuery {
         number: 0,
         servers: Vec::new(),
         part: None,
     };
     for &server in servers {
-        let owner = peer_directory.server_owner(server, now);
-        match owner.and_then(|host| peer_directory.address(host)) {
-            Some(address) => queries
-                .entry(address)
+        match peer_directory.owner(Owned::Server(server), now) {
+            Some(host) => queries
+                .entry(host)
                 .or_insert_with(empty)
                 .servers
                 .push(server),
             None => placer.peers.forget_answer(server),
         }
     }
-    let part_owner = part.and_then(|part| peer_directory.part_owner(part, now));
-    if let Some(address) = part_owner.and_then(|host| peer_directory.address(host)) {
-        queries.entry(address).or_insert_with(empty).part = part;
+    if let Some(host) = part.and_then(|part| peer_directory.owner(Owned::Part(part), now)) {
+        queries.entry(host).or_insert_with(empty).part = part;
     }
     queries
 }
@@ -155,8 +163,8 @@
 }
 
 /// Applies an answer, if its question is still open.
-pub fn on_answer(core: &Core, answer: &LoadAnswer) {
-    let Some(parts) = core.owners.borrow_mut().on_answer(answer) else {
+pub fn on_answer(core: &Core, host: HostId, answer: &LoadAnswer) {
+    let Some(parts) = core.owners.borrow_mut().on_answer(host, answer) else {
         return;
     };
     let now = core.now();
@@ -200,7 +208,7 @@
     };
     let peer_directory = core.peer_directory.borrow();
     for (server, part) in &parts {
-        if peer_directory.part_owner(part.id, now).is_none() {
+        if peer_directory.owner(Owned::Part(part.id), now).is_none() {
             core.part_directory
                 .borrow_mut()
                 .on_use(part.id, *server, now);
@@ -209,8 +217,8 @@
     let mut reports = group_by_owner(
         loads,
         &parts,
-        |server| peer_directory.server_owner(server, now),
-        |part| peer_directory.part_owner(part, now),
+        |server| peer_directory.owner(Owned::Server(server), now),
+        |part| peer_directory.owner(Owned::Part(part), now),
     );
     core.owners
         .borrow_mut()
@@ -247,3 +255,56 @@
         message = GossipMessage::default();
     }
 }
+
+/// Reports the rates of this router's workspaces to the owners of their groups, and asks these for
+/// the rates at all other routers.
+pub fn report_rates(core: &Core) {
+    let now = core.now();
+    let mut reports: BTreeMap<HostId, GossipMessage> = BTreeMap::new();
+    let peer_directory = core.peer_directory.borrow();
+    let mut placer = core.placer.borrow_mut();
+    for (workspace, rates) in core.shares.borrow().rates() {
+        let group = workspace_group(workspace);
+        let Some(host) = peer_directory.owner(Owned::Workspaces(group), now) else {
+            placer.peers.forget_rate_answer(group);
+            continue;
+        };
+        let message = reports.entry(host).or_default();
+        message.report.replaces_rates = true;
+        message.report.rates.push((workspace, rates));
+        if !message.rate_queries.contains(&group) {
+            message.rate_queries.push(group);
+        }
+    }
+    for (host, message) in reports {
+        if let Some(address) = peer_directory.address(host) {
+            core.socket.send(&message, &[address], &core.metrics);
+        }
+    }
+}
+
+/// Answers a router's question for the rates of groups of workspaces.
+pub fn on_rate_queries(core: &Core, host: HostId, groups: &[WorkspaceGroup]) {
+    let Some(address) = core.peer_directory.borrow().address(host) else {
+        return;
+    };
+    let own_rates = core.shares.borrow().rates();
+    let placer = core.placer.borrow();
+    let answer_for = |&group: &WorkspaceGroup| {
+        let mut rates = placer.peers.rates_without(host, group);
+        for (workspace, own) in &own_rates {
+            if workspace_group(*workspace) == group {
+                *rates.entry(*workspace).or_default() += *own;
+            }
+        }
+        RateAnswer {
+            group,
+            rates: rates.into_iter().collect(),
+        }
+    };
+    let message = GossipMessage {
+        rate_answers: groups.iter().map(answer_for).collect(),
+        ..GossipMessage::default()
+    };
+    core.socket.send(&message, &[address], &core.metrics);
+}
--- a/crates/relay/src/owners.rs
+++ b/crates/relay/src/owners.rs
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 struct PendingQuery {
     parts: Vec<Part>,
-    missing_answers: usize,
+    missing: Vec<HostId>,
     answered: Rc<Notify>,
 }
 
@@ -52,31 +52,34 @@
 }
 
 impl Owners {
-    /// Opens a question to `owners` routers about a prompt with the shared `parts`. Returns its
+    /// Opens a question to some routers about a prompt with the shared `parts`. Returns its
     /// number, and a notification of the last answer.
-    pub fn open(&mut self, parts: Vec<Part>, owners: usize) -> (QueryNumber, Rc<Notify>) {
+    pub fn open(&mut self, parts: Vec<Part>, owners: Vec<HostId>) -> (QueryNumber, Rc<Notify>) {
         self.last_number = self.last_number.wrapping_add(1);
         let answered = Rc::new(Notify::new());
         let query = PendingQuery {
             parts,
-            missing_answers: owners,
+            missing: owners,
             answered: Rc::clone(&answered),
         };
         self.pending.insert(self.last_number, query);
         (self.last_number, answered)
     }
 
-    /// Closes a question; later answers to it are ignored.
-    pub fn close(&mut self, number: QueryNumber) {
-        self.pending.remove(&number);
+    /// Closes a question; later answers to it are ignored. Returns the routers that have not
+    /// answered.
+    pub fn close(&mut self, number: QueryNumber) -> Vec<HostId> {
+        self.pending
+            .remove(&number)
+            .map_or_else(Vec::new, |query| query.missing)
     }
 
-    /// Records an answer. Returns the shared parts of the question's prompt, or none if the question
+    /// Records an answer of a router. Returns the shared parts of the question's prompt, or none if the question
     /// is closed.
-    pub fn on_answer(&mut self, answer: &LoadAnswer) -> Option<Vec<Part>> {
+    pub fn on_answer(&mut self, host: HostId, answer: &LoadAnswer) -> Option<Vec<Part>> {
         let query = self.pending.get_mut(&answer.number)?;
-        query.missing_answers = query.missing_answers.saturating_sub(1);
-        if query.missing_answers == 0 {
+        query.missing.retain(|missing| *missing != host);
+        if query.missing.is_empty() {
             query.answered.notify_one();
         }
         Some(query.parts.clone())
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -34,8 +34,12 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum prompt parts per datagram, so that no link fragments it.
 const MAX_PARTS: usize = 24;
-/// Gossip intervals without a datagram after which another router counts as gone.
-const PEER_TIMEOUT_INTERVALS: u32 = 3;
+/// Interval of messages to all routers in a fleet that asks owners, per other router.
+const HEARTBEAT_INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
+/// Heartbeats without a datagram after which another router counts as silent.
+const SILENT_AFTER_HEARTBEATS: u32 = 3;
+/// Interval of reports of the workspaces' rates to their owners.
+const OWNED_RATES_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Fires at a fixed interval.
 struct Periodic {
@@ -69,55 +73,48 @@
     let mut rates = Periodic::every(RATES_INTERVAL);
     let mut tables = Periodic::every(TABLES_INTERVAL);
     let mut expiry = Periodic::every(EXPIRY_INTERVAL);
+    let mut broadcast = Periodic::every(Duration::ZERO);
     loop {
-        let peer_count = peer_count(&core);
-        let interval = MIN_GOSSIP_INTERVAL.max(GOSSIP_INTERVAL_PER_PEER * peer_count);
-        core.placer
-            .borrow_mut()
-            .peers
-            .set_timeout(PEER_TIMEOUT.max(interval * PEER_TIMEOUT_INTERVALS));
-        rates.interval = RATES_INTERVAL.max(RATES_INTERVAL_PER_PEER * peer_count);
-        let due_at = core.now() + interval;
+        let asks_owners = loads::asks_owners(&core);
+        let pace = Pace::of(&core, asks_owners);
+        rates.interval = pace.rates_interval;
+        broadcast.interval = pace.broadcast_interval;
+        let due_at = core.now() + pace.tick;
         tokio::select! {
-            () = sleep(interval) => {
+            () = sleep(pace.tick) => {
                 let now = core.now();
                 record_delay(&core, now.saturating_sub(due_at), now);
             }
-            () = core.gossip_now.notified() => tables.due_at = Duration::ZERO,
+            () = core.gossip_now.notified() => {
+                tables.due_at = Duration::ZERO;
+                broadcast.due_at = Duration::ZERO;
+            }
         }
         let now = core.now();
         if shares.is_due(now) {
             refill_shares(&core, now);
         }
         if expiry.is_due(now) {
-            let mut placer = core.placer.borrow_mut();
-            placer.expire(now);
-            if loads::asks_owners(&core) {
-                placer.expire_parts(CACHE_LIFETIME, now);
-            }
-            drop(placer);
-            core.part_directory.borrow_mut().expire(now);
-            core.pool.expire();
-            update_preceding_routers(&core, now);
+            expire(&core, &pace, asks_owners, now);
         }
-        let asks_owners = loads::asks_owners(&core);
-        core.placer.borrow_mut().set_reported_parts(if asks_owners {
-            ReportedParts::LastShared
-        } else {
-            ReportedParts::Shared
-        });
         let is_full = full_report.is_due(now);
-        let mut message = if asks_owners {
+        let mut message = GossipMessage::default();
+        if asks_owners {
             if is_full {
                 loads::report(&core, true);
             }
+            if rates.is_due(now) {
+                loads::report_rates(&core);
+            }
             // Withdraws the loads that all routers were told before.
-            let withdraws = !asked_owners;
-            rates_message(&core, withdraws, is_full || rates.is_due(now))
+            message.report.replaces_loads = !asked_owners;
+            message.report.replaces_rates = !asked_owners;
+            if asked_owners && !broadcast.is_due(now) {
+                continue;
+            }
         } else {
-            gossip_message(&core, is_full, rates.is_due(now))
-        };
-        asked_owners = asks_owners;
+            message = gossip_message(&core, is_full, rates.is_due(now));
+        }
         let confirmation = gossip_confirmation(&core);
         if tables.is_due(now) {
             message.tables = table_updates(&core, now);
@@ -126,14 +123,84 @@
             last_sent_confirmation = confirmation;
             message.confirmation = confirmation;
         }
-        if message == GossipMessage::default() {
+        // In a large fleet the broadcast also shows that this router is live.
+        if !asks_owners && message == GossipMessage::default() {
             continue;
         }
+        asked_owners = asks_owners;
         let destinations = core.peer_directory.borrow_mut().destinations(now);
         core.socket.send(&message, &destinations, &core.metrics);
     }
 }
 
+/// Intervals that depend on the size of the fleet.
+struct Pace {
+    /// Interval of the task itself.
+    tick: Duration,
+    /// Interval of messages to all routers, in a fleet that asks owners.
+    broadcast_interval: Duration,
+    /// Interval of reports of the workspaces' rates.
+    rates_interval: Duration,
+    /// Time without reports after which another router's loads and rates are dropped.
+    peer_timeout: Duration,
+    /// Time without datagrams after which another router counts as silent.
+    silent_after: Duration,
+}
+
+impl Pace {
+    fn of(core: &Core, asks_owners: bool) -> Self {
+        let peer_count = peer_count(core);
+        let interval = MIN_GOSSIP_INTERVAL.max(GOSSIP_INTERVAL_PER_PEER * peer_count);
+        if !asks_owners {
+            return Self {
+                tick: interval,
+                broadcast_interval: Duration::ZERO,
+                rates_interval: RATES_INTERVAL.max(RATES_INTERVAL_PER_PEER * peer_count),
+                peer_timeout: PEER_TIMEOUT,
+                silent_after: Duration::ZERO,
+            };
+        }
+        let heartbeat_interval = HEARTBEAT_INTERVAL_PER_PEER * peer_count;
+        let reads_tables = !core.shared.tables.follows_gossip();
+        Self {
+            tick: SHARES_INTERVAL,
+            broadcast_interval: if reads_tables {
+                interval
+            } else {
+                heartbeat_interval
+            },
+            rates_interval: OWNED_RATES_INTERVAL,
+            peer_timeout: PEER_TIMEOUT,
+            silent_after: heartbeat_interval * SILENT_AFTER_HEARTBEATS,
+        }
+    }
+}
+
+fn expire(core: &Core, pace: &Pace, asks_owners: bool, now: Duration) {
+    {
+        let mut placer = core.placer.borrow_mut();
+        placer.peers.set_timeout(pace.peer_timeout);
+        placer.expire(now);
+        placer.set_reported_parts(if asks_owners {
+            ReportedParts::LastShared
+        } else {
+            ReportedParts::Shared
+        });
+        if asks_owners {
+            placer.set_fleet_size(core.peer_directory.borrow().fleet_size());
+            placer.expire_parts(CACHE_LIFETIME, now);
+        }
+    }
+    {
+        let mut peer_directory = core.peer_directory.borrow_mut();
+        peer_directory.set_silent_after(pace.silent_after);
+        peer_directory.forget_owners();
+    }
+    core.part_directory.borrow_mut().expire(now);
+    core.pool.expire();
+    update_preceding_routers(core, now);
+}
+
 fn peer_count(core: &Core) -> u32 {
     to_u32(core.peer_directory.borrow().fleet_size() - 1)
 }
@@ -209,24 +276,6 @@
     }
 }
 
-/// Returns a message without loads and prompt parts, which only the owners of servers get.
-fn rates_message(core: &Core, withdraws_loads: bool, with_rates: bool) -> GossipMessage {
-    let rates = if with_rates {
-        core.shares.borrow().rates().into_iter().collect()
-    } else {
-        Vec::new()
-    };
-    GossipMessage {
-        report: PeerReport {
-            replaces_loads: withdraws_loads,
-            replaces_rates: with_rates,
-            loads: Vec::new(),
-            rates,
-        },
-        ..GossipMessage::default()
-    }
-}
-
 fn gossip_confirmation(core: &Core) -> Option<GossipConfirmation> {
     let confirmation = core.active_configuration.borrow().newest_confirmation()?;
     Some(GossipConfirmation {
@@ -304,7 +353,15 @@
                     loads::on_query(&core, host, &query);
                 }
                 if let Some(answer) = message.answer {
-                    loads::on_answer(&core, &answer);
+                    loads::on_answer(&core, host, &answer);
+                }
+                if !message.rate_queries.is_empty() {
+                    loads::on_rate_queries(&core, host, &message.rate_queries);
+                }
+                for answer in message.rate_answers {
+                    let rates = answer.rates.into_iter().collect();
+                    let mut placer = core.placer.borrow_mut();
+                    placer.peers.on_rate_answer(answer.group, rates, now);
                 }
                 core.capacity_freed.notify_one();
             }
--- a/crates/relay/tests/owners.rs
+++ b/crates/relay/tests/owners.rs
@@ -28,22 +28,25 @@
     for (owners, answers, is_answered) in [(1, 1, true), (3, 3, true), (3, 2, false), (2, 0, false)]
     {
         let mut questions = Owners::default();
-        let (number, answered) = questions.open(vec![part(1)], owners);
-        for _ in 0..answers {
-            assert_eq!(questions.on_answer(&answer(number)), Some(vec![part(1)]));
+        let (number, answered) = questions.open(vec![part(1)], (0..owners).collect());
+        for host in 0..answers {
+            let parts = questions.on_answer(host, &answer(number));
+            assert_eq!(parts, Some(vec![part(1)]));
         }
         let waiting = timeout(Duration::from_millis(30), answered.notified()).await;
         assert_eq!(waiting.is_ok(), is_answered, "{answers} of {owners}");
+        let missing: Vec<u32> = (answers..owners).collect();
+        assert_eq!(questions.close(number), missing);
     }
 }
 
 #[test]
 fn late_and_unasked_answers_are_ignored() {
     let mut questions = Owners::default();
-    let (number, _) = questions.open(Vec::new(), 1);
-    assert_eq!(questions.on_answer(&answer(number + 1)), None, "unasked");
+    let (number, _) = questions.open(Vec::new(), vec![4]);
+    assert_eq!(questions.on_answer(4, &answer(number + 1)), None, "unasked");
     questions.close(number);
-    assert_eq!(questions.on_answer(&answer(number)), None, "late");
+    assert_eq!(questions.on_answer(4, &answer(number)), None, "late");
 }
 
 #[test]
