Call the store less: none before a configuration is known, none after a gap

Cause, from a trial that logged each call: at its start every router asked for a confirmation of a configuration that it did not have, which cancelled its wait for the configuration and began it again. After a gap in the gossip a router polled the store twice, the second time for as long as 20 s, because no delta had arrived during the first call.

--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -62,6 +62,8 @@
     pub(crate) gossip: Option<Box<dyn TableGossip>>,
     /// Whether other routers publish the changes, so that the store need not be polled.
     pub(crate) receives_gossip: bool,
+    /// Whether the store is called because changes were missing from the gossip.
+    pub(crate) is_after_gap: bool,
 }
 
 impl<S: Source, L: Listener, R: Rng> Follower<S, L, R> {
@@ -89,6 +91,7 @@
             signals,
             gossip: None,
             receives_gossip: false,
+            is_after_gap: false,
         }
     }
 
@@ -112,11 +115,14 @@
         if self.receives_gossip && !self.reads_store() && self.revision.is_some() {
             return self.apply_next_delta().await;
         }
+        let is_after_gap = self.is_after_gap;
         self.call_store().await;
         self.receives_gossip = self
             .gossip
             .as_mut()
-            .is_some_and(|gossip| gossip.discard_pending());
+            .is_some_and(|gossip| gossip.discard_pending())
+            || is_after_gap && !self.is_unreachable;
+        self.is_after_gap = false;
     }
 
     /// Makes one call to the store and notifies the listener of the result.
--- a/crates/watch/src/follower_gossip.rs
+++ b/crates/watch/src/follower_gossip.rs
@@ -66,6 +66,7 @@
         let delay = MAX_GAP_DELAY.mul_f64(self.random.random_range(0.0..1.0));
         sleep(delay).await;
         self.receives_gossip = false;
+        self.is_after_gap = true;
         self.poll_immediately = true;
     }
 
--- a/crates/watch/src/freshness.rs
+++ b/crates/watch/src/freshness.rs
@@ -64,7 +64,8 @@
     }
 
     /// Returns whether a router that this many routers precede has to request a confirmation now.
-    /// `known_version` is the version that it has; `now` is on the suspension clock.
+    /// `known_version` is the version that it has, 0 if none, which the follower waits for anyway;
+    /// `now` is on the suspension clock.
     #[must_use]
     pub fn is_due(&self, preceding_routers: u32, known_version: u64, now: Duration) -> bool {
         if self.is_unreachable.load(Ordering::Relaxed) {
@@ -73,6 +74,9 @@
         if self.is_behind_too_long(known_version, now) {
             return true;
         }
+        if known_version == 0 {
+            return false;
+        }
         let confirmed = Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
         let age = now.saturating_sub(confirmed);
         age >= REFRESH_AGE
--- a/crates/watch/tests/freshness.rs
+++ b/crates/watch/tests/freshness.rs
@@ -76,6 +76,13 @@
     }
 }
 
+#[test]
+fn nothing_is_confirmed_before_a_configuration_is_known() {
+    let freshness = Freshness::default();
+    assert!(!freshness.is_due(0, 0, ms(10_000)));
+    assert!(freshness.is_due(0, 3, ms(10_000)));
+}
+
 #[test]
 fn a_newer_version_at_a_peer_is_requested_if_the_follower_does_not_deliver_it() {
     let freshness = Freshness::default();
