--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -60,10 +60,19 @@
     pub(crate) poll_immediately: bool,
     signals: Signals,
     pub(crate) gossip: Option<Box<dyn TableGossip>>,
-    /// Whether other routers publish the changes, so that the store need not be polled.
-    pub(crate) receives_gossip: bool,
-    /// Whether the store is called because changes were missing from the gossip.
-    pub(crate) is_after_gap: bool,
+    /// Where the next changes come from.
+    pub(crate) feed: Feed,
+}
+
+/// Where a follower that may receive gossip gets the next changes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Feed {
+    /// From the store.
+    Store,
+    /// From the store once, because changes were missing from the gossip.
+    StoreAfterGap,
+    /// From the other routers, so that the store need not be polled.
+    Gossip,
 }
 
 impl<S: Source, L: Listener, R: Rng> Follower<S, L, R> {
@@ -90,8 +99,7 @@
             poll_immediately: false,
             signals,
             gossip: None,
-            receives_gossip: false,
-            is_after_gap: false,
+            feed: Feed::Store,
         }
     }
 
@@ -112,17 +120,20 @@
     /// Applies the next changes from other routers, or makes one call to the store, and notifies
     /// the listener of the result.
     pub async fn step(&mut self) {
-        if self.receives_gossip && !self.reads_store() && self.revision.is_some() {
+        if self.feed == Feed::Gossip && !self.reads_store() && self.revision.is_some() {
             return self.apply_next_delta().await;
         }
-        let is_after_gap = self.is_after_gap;
+        let was_gap = self.feed == Feed::StoreAfterGap;
         self.call_store().await;
-        self.receives_gossip = self
+        let is_gossiping = self
             .gossip
             .as_mut()
-            .is_some_and(|gossip| gossip.discard_pending())
-            || is_after_gap && !self.is_unreachable;
-        self.is_after_gap = false;
+            .is_some_and(|gossip| gossip.discard_pending());
+        self.feed = if is_gossiping || was_gap && !self.is_unreachable {
+            Feed::Gossip
+        } else {
+            Feed::Store
+        };
     }
 
     /// Makes one call to the store and notifies the listener of the result.
--- a/crates/watch/src/follower_gossip.rs
+++ b/crates/watch/src/follower_gossip.rs
@@ -1,7 +1,7 @@
 //! Exchange of a table's changes between a follower and other routers.
 
 use {
-    crate::{Change, Follower, Listener, Revision, Source, TableDelta},
+    crate::{Change, Follower, Listener, Revision, Source, TableDelta, follower::Feed},
     rand::Rng,
     std::time::Duration,
     tokio::time::{sleep, timeout},
@@ -31,7 +31,7 @@
             return;
         }
         log::info!(table = self.table.as_str(); "no changes from other routers; polling the store");
-        self.receives_gossip = false;
+        self.feed = Feed::Store;
     }
 
     /// Applies a delta from another router if it continues the known revision; after a gap the next
@@ -65,8 +65,7 @@
     async fn wait_to_read_store(&mut self) {
         let delay = MAX_GAP_DELAY.mul_f64(self.random.random_range(0.0..1.0));
         sleep(delay).await;
-        self.receives_gossip = false;
-        self.is_after_gap = true;
+        self.feed = Feed::StoreAfterGap;
         self.poll_immediately = true;
     }
 
