List a table once after a gap in a dropped history, without a further poll

After the list it polled for as long as 20 s, since the state "after a gap" ended with the failed poll before the list.

The new test failed before (four calls instead of three).

--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -129,10 +129,12 @@
             .gossip
             .as_mut()
             .is_some_and(|gossip| gossip.discard_pending());
-        self.feed = if is_gossiping || was_gap && !self.is_unreachable {
-            Feed::Gossip
-        } else {
-            Feed::Store
+        let has_read_gap = was_gap && !self.is_unreachable;
+        self.feed = match self.revision {
+            // The history before the gap is gone; the next call lists the table.
+            None if has_read_gap => Feed::StoreAfterGap,
+            _ if is_gossiping || has_read_gap => Feed::Gossip,
+            _ => Feed::Store,
         };
     }
 
--- a/crates/watch/tests/table_gossip.rs
+++ b/crates/watch/tests/table_gossip.rs
@@ -48,16 +48,21 @@
     published: Rc<RefCell<Vec<TableDelta>>>,
 }
 
-/// A store that lists its table at revision 4 and then has one change, `d`, at revision 10.
-struct StoreStandIn(Observed);
+/// A store that lists its table at revision 4 and then has one change, `d`, at revision 10. With
+/// `is_compacted`, it no longer has that change and lists the table at revision 10 from then on.
+struct StoreStandIn {
+    observed: Observed,
+    is_compacted: bool,
+}
 
 impl Source for StoreStandIn {
     fn list<'a>(&'a mut self, _table: &'a str, _timeout: Duration) -> SourceFuture<'a, Listing> {
-        self.0.calls.set(self.0.calls.get() + 1);
-        Box::pin(async {
+        self.observed.calls.set(self.observed.calls.get() + 1);
+        let is_first = self.observed.calls.get() == 1;
+        Box::pin(async move {
             Ok(Listing {
                 era: 0,
-                revision: 4,
+                revision: if is_first { 4 } else { 10 },
                 store_time: Duration::ZERO,
                 rows: Vec::new(),
             })
@@ -71,8 +76,12 @@
         wait: Duration,
         _timeout: Duration,
     ) -> SourceFuture<'a, Changes> {
-        self.0.calls.set(self.0.calls.get() + 1);
+        self.observed.calls.set(self.observed.calls.get() + 1);
+        let is_compacted = self.is_compacted;
         Box::pin(async move {
+            if is_compacted && since < 10 {
+                return Err(SourceError::HistoryGone);
+            }
             if since >= 10 {
                 tokio::time::sleep(wait).await;
             }
@@ -140,6 +149,16 @@
 
 /// Runs a follower for `seconds`; its first call lists the table at revision 4.
 async fn follow(reads_store: bool, deltas: &[TableDelta], seconds: u64) -> Observed {
+    follow_store(false, reads_store, deltas, seconds).await
+}
+
+/// Like [`follow`], with a store that may have dropped its history.
+async fn follow_store(
+    is_compacted: bool,
+    reads_store: bool,
+    deltas: &[TableDelta],
+    seconds: u64,
+) -> Observed {
     let observed = Observed::default();
     let gossip = GossipStandIn {
         reads_store,
@@ -148,7 +167,10 @@
     };
     let follower = Follower::new(
         "servers",
-        StoreStandIn(observed.clone()),
+        StoreStandIn {
+            observed: observed.clone(),
+            is_compacted,
+        },
         observed.clone(),
         ChaCha8Rng::seed_from_u64(1),
         TIMING,
@@ -183,6 +205,17 @@
     );
 }
 
+#[tokio::test(start_paused = true)]
+async fn after_a_gap_in_a_dropped_history_the_table_is_listed_once() {
+    let deltas = [delta(4, 6, &["a"]), delta(8, 10, &["d"])];
+    let observed = follow_store(true, false, &deltas, 1).await;
+    assert_eq!(
+        observed.calls.get(),
+        3,
+        "the list, the gap and another list"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_store_is_polled_when_no_deltas_arrive() {
     let deltas = [delta(4, 6, &["a"])];
