Close questions of requests that end meanwhile; split two files

- A question to owners stayed open for good if its caller left or its deadline passed while it waited for answers: a map that grew without bound.
A guard closes it now.
- Questions and answers have a file of their own beside the other gossip, and so have the intervals that depend on the size of the fleet.
- A request refused because all servers have asked for no requests has a reason of its own, servers_backing_off, which baobabctl explains.

--- a/bin/ctl/src/explain.rs
+++ b/bin/ctl/src/explain.rs
@@ -136,6 +136,9 @@
         "no_configuration" => "not run: the router had no configuration yet".to_owned(),
         "no_route" => "not run: no route matches its host and path".to_owned(),
         "unknown_key" => "not run: its key is in no workspace".to_owned(),
+        "servers_backing_off" => {
+            "not run: all servers of its service had asked for no requests".to_owned()
+        }
         "no_server" => "not run: its service had no server".to_owned(),
         "servers_refused" => "not run: the servers that were tried refused it".to_owned(),
         "servers_unreachable" => "not run: no server could be reached".to_owned(),
--- a/bin/ctl/tests/explain.rs
+++ b/bin/ctl/tests/explain.rs
@@ -47,6 +47,10 @@
             congested + &refused("busy"),
             "not run: no engine would have answered on time: 11 engines late, 7 full",
         ),
+        (
+            refused("servers_backing_off"),
+            "not run: all servers of its service had asked for no requests",
+        ),
         (
             refused("configuration_unconfirmed"),
             "not run: the store confirmed the configuration longer ago",
--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -79,7 +79,7 @@
         available_in: backoff,
     };
     let delay = retry_after(cause, job.time_left(), core.random_fraction());
-    Problem::with_retry_after(Reason::Busy, delay.max(backoff))
+    Problem::with_retry_after(Reason::BackingOff, delay.max(backoff))
 }
 
 fn admission_class(core: &Core, job: &Job) -> AdmissionClass {
--- a/crates/relay/src/forward/problem.rs
+++ b/crates/relay/src/forward/problem.rs
@@ -27,6 +27,8 @@
     NoMemory,
     /// The service has no server.
     NoServer,
+    /// All servers have asked for no requests for some time.
+    BackingOff,
     /// No server would respond on time.
     Busy,
     /// No server would respond on time, and the workspace has used its share.
@@ -59,6 +61,7 @@
             Self::Overloaded => "router_overloaded",
             Self::NoMemory => "no_memory",
             Self::NoServer => "no_server",
+            Self::BackingOff => "servers_backing_off",
             Self::Busy => "busy",
             Self::OverShare => "over_share",
             Self::ServersRefused => "servers_refused",
@@ -88,6 +91,7 @@
             | Self::Overloaded
             | Self::NoMemory
             | Self::NoServer
+            | Self::BackingOff
             | Self::Busy
             | Self::ServersRefused
             | Self::Unreachable
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -2,16 +2,15 @@
 
 mod message;
 mod outbox;
+mod owner_message;
 mod peer_directory;
 mod seal;
 mod socket;
 
 pub use {
-    message::{
-        GossipConfirmation, GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, PartUpdate,
-        QueryNumber, RateAnswer, ServerAnswer, TableUpdate,
-    },
+    message::{GossipConfirmation, GossipMessage, PartUpdate, TableUpdate},
     outbox::Outbox,
+    owner_message::{HolderAnswer, LoadAnswer, LoadQuery, QueryNumber, RateAnswer, ServerAnswer},
     peer_directory::{Owned, PeerDirectory},
     seal::PeerKey,
     socket::GossipSocket,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod operators;
 mod overload;
 mod owners;
+mod pace;
 mod pool;
 mod relay;
 mod settings;
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -4,8 +4,8 @@
     crate::{
         core::Core,
         gossip::{
-            GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, Owned, PartUpdate, RateAnswer,
-            ServerAnswer,
+            GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, Owned, PartUpdate, QueryNumber,
+            RateAnswer, ServerAnswer,
         },
         owners::{OwnerReport, group_by_owner},
     },
@@ -76,21 +76,42 @@
         };
         core.socket.send(&message, &[address], &core.metrics);
     }
+    let question = OpenQuestion { core, number };
     let outcome = match timeout(ANSWER_TIMEOUT, answered.notified()).await {
         Ok(()) => "answered",
         Err(_) => "timed_out",
     };
-    let missing = core.owners.borrow_mut().close(number);
-    let now = core.now();
-    for host in missing {
-        core.peer_directory.borrow_mut().on_missed_answer(host, now);
-    }
+    question.close();
     core.metrics
         .load_queries
         .with_label_values(&[outcome])
         .inc();
 }
 
+/// A question that waits for answers. Dropping it, as when its caller leaves, closes it.
+struct OpenQuestion<'a> {
+    core: &'a Core,
+    number: QueryNumber,
+}
+
+impl OpenQuestion<'_> {
+    /// Closes the question and records which routers have not answered in time.
+    fn close(self) {
+        let missing = self.core.owners.borrow_mut().close(self.number);
+        let now = self.core.now();
+        let mut peer_directory = self.core.peer_directory.borrow_mut();
+        for host in missing {
+            peer_directory.on_missed_answer(host, now);
+        }
+    }
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        self.core.owners.borrow_mut().close(self.number);
+    }
+}
+
 /// Returns the questions by the asked router, without a number.
 fn queries(
     core: &Core,
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -2,44 +2,27 @@
 
 use {
     crate::{
-        core::{Core, PEER_TIMEOUT},
+        core::Core,
         gossip::{GossipConfirmation, GossipMessage, PartUpdate, TableUpdate},
         loads,
+        pace::{Pace, RATES_INTERVAL, SHARES_INTERVAL},
     },
     baobab_place::{CACHE_LIFETIME, PeerReport, ReportedParts},
     baobab_routing::Confirmation,
-    baobab_unit::{millis, to_u32},
+    baobab_unit::millis,
     baobab_watch::suspension_clock,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
-/// Minimum gossip interval: a few messages are sent during the prefill of one prompt.
-const MIN_GOSSIP_INTERVAL: Duration = Duration::from_millis(15);
-/// The gossip interval is at least this times the number of peers, which bounds the datagrams per
-/// second that a router receives.
-const GOSSIP_INTERVAL_PER_PEER: Duration = Duration::from_millis(3);
 /// Interval of full reports, which make up for lost ones.
 const FULL_REPORT_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval of share refills.
-const SHARES_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum interval of reports of the workspaces' rates.
-const RATES_INTERVAL: Duration = Duration::from_millis(100);
-/// The same interval is at least this times the number of peers; the rates are averages over two
-/// seconds.
-const RATES_INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
 /// Interval of table updates: several within the time after which a router reads the store itself.
 const TABLES_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of expiry of old state.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum prompt parts per datagram, so that no link fragments it.
 const MAX_PARTS: usize = 24;
-/// Interval of messages to all routers in a fleet that asks owners, per other router.
-const HEARTBEAT_INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
-/// Heartbeats without a datagram after which another router counts as silent.
-const SILENT_AFTER_HEARTBEATS: u32 = 3;
-/// Interval of reports of the workspaces' rates to their owners.
-const OWNED_RATES_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Fires at a fixed interval.
 struct Periodic {
@@ -133,49 +116,6 @@
     }
 }
 
-/// Intervals that depend on the size of the fleet.
-struct Pace {
-    /// Interval of the task itself.
-    tick: Duration,
-    /// Interval of messages to all routers, in a fleet that asks owners.
-    broadcast_interval: Duration,
-    /// Interval of reports of the workspaces' rates.
-    rates_interval: Duration,
-    /// Time without reports after which another router's loads and rates are dropped.
-    peer_timeout: Duration,
-    /// Time without datagrams after which another router counts as silent.
-    silent_after: Duration,
-}
-
-impl Pace {
-    fn of(core: &Core, asks_owners: bool) -> Self {
-        let peer_count = peer_count(core);
-        let interval = MIN_GOSSIP_INTERVAL.max(GOSSIP_INTERVAL_PER_PEER * peer_count);
-        if !asks_owners {
-            return Self {
-                tick: interval,
-                broadcast_interval: Duration::ZERO,
-                rates_interval: RATES_INTERVAL.max(RATES_INTERVAL_PER_PEER * peer_count),
-                peer_timeout: PEER_TIMEOUT,
-                silent_after: Duration::ZERO,
-            };
-        }
-        let heartbeat_interval = HEARTBEAT_INTERVAL_PER_PEER * peer_count;
-        let reads_tables = !core.shared.tables.follows_gossip();
-        Self {
-            tick: SHARES_INTERVAL,
-            broadcast_interval: if reads_tables {
-                interval
-            } else {
-                heartbeat_interval
-            },
-            rates_interval: OWNED_RATES_INTERVAL,
-            peer_timeout: PEER_TIMEOUT,
-            silent_after: heartbeat_interval * SILENT_AFTER_HEARTBEATS,
-        }
-    }
-}
-
 fn expire(core: &Core, pace: &Pace, asks_owners: bool, now: Duration) {
     {
         let mut placer = core.placer.borrow_mut();
@@ -201,10 +141,6 @@
     update_preceding_routers(core, now);
 }
 
-fn peer_count(core: &Core) -> u32 {
-    to_u32(core.peer_directory.borrow().fleet_size() - 1)
-}
-
 /// Updates whether this router reads the store's tables for the others.
 fn update_preceding_routers(core: &Core, now: Duration) {
     let peer_directory = core.peer_directory.borrow();
