--- a/bin/load/src/args.rs
+++ b/bin/load/src/args.rs
@@ -71,7 +71,7 @@
     pub speed: f64,
 }
 
-/// Measures the cost of decisions and messages against size, for docs/CAPACITY.md.
+/// Measures the cost of decisions and messages against size, for docs/capacity/router.md.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "slopes")]
 pub struct SlopesArgs {
--- a/capacity.sh
+++ b/capacity.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures and plots the cost slopes of docs/CAPACITY.md on this machine: single decisions, whole
+# Measures and plots the cost slopes of docs/capacity/router.md on this machine: single decisions, whole
 # fleets of 6 to 48 routers, and one router with 54 to 504 streams.
 #
 #   ./capacity.sh        writes target/capacity/slopes.md and a plot for each slope
--- a/test.sh
+++ b/test.sh
@@ -25,6 +25,8 @@
 soak --seed 1 --seconds 8
 # With twelve or more routers, only a few read the store's tables, on behalf of all.
 soak --seed 400 --seconds 8 --routers 14 --callers 2
+# With more than twenty routers, the owners of servers are asked for their load.
+soak --seed 420 --seconds 8 --routers 24 --callers 2
 
 for name in "${red[@]+"${red[@]}"}"; do
     echo "known red: $name"
