Send nothing to a server that began to leave after it was chosen

The request had been at an overloaded router for 2.2 s; the server's leaving was acknowledged 0.8 s before it arrived.

Cause: the server is chosen before a connection is opened, and only its time to retry was checked again before sending. Beside that, questions to owners added a wait for each answer, which at an overloaded router is a round of its whole event loop.

The check before sending now covers leaving and removed servers, and an overloaded router samples servers without asking their owners.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -190,6 +190,16 @@
         state.backoff_until = state.backoff_until.max(Some(until));
     }
 
+    /// Returns whether a server that was chosen earlier may still be sent a request.
+    #[must_use]
+    pub fn accepts(&self, key: ServerKey, now: Duration) -> bool {
+        let is_leaving = self
+            .registry
+            .get(key)
+            .is_none_or(|server| server.is_leaving);
+        !is_leaving && self.backoff(key, now).is_none()
+    }
+
     /// Returns how long a server still wants no requests from this router, if it does.
     #[must_use]
     pub fn backoff(&self, key: ServerKey, now: Duration) -> Option<Duration> {
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -411,6 +411,23 @@
     assert!(placer.place(&plain, NOW).is_ok());
 }
 
+#[test]
+fn a_chosen_server_that_leaves_or_backs_off_meanwhile_is_not_sent_the_request() {
+    let mut placer = placer(3);
+    assert!(placer.accepts(1, NOW));
+    assert!(!placer.accepts(9, NOW), "removed");
+    placer.registry.announce(Server {
+        is_leaving: true,
+        ..server(1)
+    });
+    assert!(!placer.accepts(1, NOW));
+    placer.registry.on_leaving_response(2, NOW);
+    assert!(!placer.accepts(2, NOW));
+    placer.on_backoff(3, Duration::from_secs(2), NOW);
+    assert!(!placer.accepts(3, NOW + Duration::from_millis(1_900)));
+    assert!(placer.accepts(3, NOW + Duration::from_secs(2)));
+}
+
 /// Engines with few slots serve most of them; those with many keep memory and speed in reserve.
 #[test]
 fn running_requests_are_bounded_by_slots_on_small_engines_and_by_number_on_large_ones() {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -40,9 +40,9 @@
         NotSent(reason: String) {
             display("nothing was sent: {reason}")
         }
-        /// The server has asked for no requests while the connection was opened.
-        BackingOff {
-            display("the server has asked for no requests")
+        /// The server began to leave or asked for no requests after it was chosen.
+        Unavailable {
+            display("the server is leaving or has asked for no requests")
         }
         /// All connections that the router may have to the server are in use.
         NoConnection(max_connections: usize) {
@@ -105,7 +105,7 @@
         Err(error) => {
             let outcome = match error {
                 AttemptError::NotSent(_) => ServerOutcome::Unreachable,
-                AttemptError::NoConnection(_) | AttemptError::BackingOff => ServerOutcome::Full,
+                AttemptError::NoConnection(_) | AttemptError::Unavailable => ServerOutcome::Full,
                 _ => ServerOutcome::Failure,
             };
             load_guard.finish(outcome);
@@ -132,13 +132,8 @@
             None => open(core, load_guard).await?,
         };
         let mut active = ActiveConnection::new(core, load_guard, connection);
-        if core
-            .placer
-            .borrow()
-            .backoff(server.key, core.now())
-            .is_some()
-        {
-            return Err(AttemptError::BackingOff);
+        if !core.placer.borrow().accepts(server.key, core.now()) {
+            return Err(AttemptError::Unavailable);
         }
         let request = build_request(core, job, load_guard, fetch_from, resume_after);
         let was_sent_before = job.was_sent.replace(true);
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -196,7 +196,7 @@
         refund(core, job);
     }
     let (reason, may_retry) = match error {
-        AttemptError::NotSent(_) | AttemptError::NoConnection(_) | AttemptError::BackingOff => {
+        AttemptError::NotSent(_) | AttemptError::NoConnection(_) | AttemptError::Unavailable => {
             attempts.unreachable += 1;
             if attempts.unreachable < MAX_UNREACHABLE {
                 return Ok(());
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -40,7 +40,11 @@
     round: u32,
 ) -> Result<Placement, PlacementError> {
     let sample = core.placer.borrow().sample(request, round, core.now())?;
-    ask(core, request, &sample).await;
+    // Answers would reach an overloaded router late, and each wait delays the request further.
+    let is_overloaded = core.overload.borrow().is_overloaded();
+    if !is_overloaded {
+        ask(core, request, &sample).await;
+    }
     let request = PlacementRequest {
         sample: Some(&sample),
         ..*request
