Ask for one sample of servers for requests beyond the share

Cause: a request without room asked for another sample every 15 ms while it might wait, six times a dozen datagrams, and a flood multiplies that. Now requests beyond the share, late ones and all at an overloaded router get one sample and are refused at once; the others get three.

--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -19,6 +19,8 @@
 const MAX_WAIT_OBJECTIVE_FRACTION: f64 = 0.115;
 /// Delay before another sample of servers is asked for their load.
 const NEXT_SAMPLE_DELAY: Duration = Duration::from_millis(15);
+/// Maximum number of samples for a request within its workspace's share.
+const MAX_SAMPLES: u32 = 3;
 /// Delay before a retry if no server can be used: about the interval between announcements.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -54,7 +56,8 @@
                 return Err(backing_off(core, job, backoff));
             }
             Err(PlacementError::Busy(congestion)) => {
-                if Instant::now() >= wait_until {
+                let is_last = asks_owners && round >= max_samples(core, admission_class);
+                if is_last || Instant::now() >= wait_until {
                     return Err(refusal(core, job, admission_class, congestion));
                 }
                 if asks_owners {
@@ -67,6 +70,21 @@
     }
 }
 
+/// Returns how many samples of servers are asked for a request. Each costs a dozen datagrams, which
+/// a flood would multiply: requests beyond the share, late ones and those at an overloaded router
+/// get one.
+fn max_samples(core: &Core, admission_class: AdmissionClass) -> u32 {
+    let is_spare = matches!(
+        admission_class,
+        AdmissionClass::Late | AdmissionClass::BeyondShare { .. }
+    );
+    if is_spare || core.overload.borrow().is_overloaded() {
+        1
+    } else {
+        MAX_SAMPLES
+    }
+}
+
 /// Refuses a request at once: no server of the service takes any for `backoff`.
 fn backing_off(core: &Core, job: &Job, backoff: Duration) -> Problem {
     log::info!(
