Keep the limits that servers name over all routers together

Cause: no code read what servers say of their limit, and what they ask of all routers needs a count over all of them. Ruled out: second attempts (all sends to the engine were first attempts); an equal part for each router (useless for 3 a second at 58 or 295 routers); a count told to all (each free request is seen by all routers at once).

Change: crates/limit, a state machine without I/O. The owner of a server among the routers gives out one permit for each request, also for retries, requests beside a silent server and resumptions; notices with versions travel with the loads, so that an old message revives no limit that has ended. Requests that no server may take are refused at once with the time to retry.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -39,15 +39,20 @@
 
     /// Takes one retry from the budget. Returns whether it was available.
     pub fn try_retry(&mut self, ratio: f64, fixed: f64, now: Duration) -> bool {
+        let is_allowed = self.may_retry(ratio, fixed, now);
+        if is_allowed {
+            self.bucket_at(now).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// Returns whether the budget has a retry left, without taking it.
+    pub fn may_retry(&mut self, ratio: f64, fixed: f64, now: Duration) -> bool {
         self.bucket_at(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let allowed = ratio * f64::from(requests) + fixed;
-        if f64::from(retries + 1) > allowed {
-            return false;
-        }
-        self.bucket_at(now).retries += 1;
-        true
+        f64::from(retries + 1) <= allowed
     }
 
     fn bucket_at(&mut self, now: Duration) -> &mut Bucket {
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -6,6 +6,7 @@
         candidate::{Candidate, Rejection, cheapest, rendezvous_order},
         convert::millis,
     },
+    baobab_limit::Priority,
     std::time::Duration,
 };
 
@@ -25,8 +26,9 @@
     /// # Errors
     ///
     /// Returns [`PlacementError::NoServer`] if no server is usable, [`PlacementError::BackingOff`]
-    /// if all of them have asked for no requests, and [`PlacementError::Busy`] if none has capacity
-    /// within the bounds of the request's admission class.
+    /// or [`PlacementError::Limited`] if all of them have asked for no requests or have named limits
+    /// that are used up, and [`PlacementError::Busy`] if none has capacity within the bounds of the
+    /// request's admission class.
     pub fn place(
         &self,
         request: &PlacementRequest,
@@ -63,31 +65,34 @@
             cached_tokens: best.cached_tokens,
             max_cached_tokens,
             fetch_from,
+            has_permit: false,
         })
     }
 
-    /// Returns the untried servers that are neither ejected nor backing off, or those that are only
-    /// ejected if there are no others.
+    /// Returns the untried servers that are neither ejected nor backing off and whose limits may leave
+    /// a request, or those that are only ejected if there are no others.
     pub(crate) fn eligible_servers<'a>(
         &'a self,
         request: &'a PlacementRequest,
         now: Duration,
     ) -> Result<Vec<&'a Server>, PlacementError> {
-        let mut min_backoff: Option<Duration> = None;
+        let mut unavailable: Option<(Duration, PlacementError)> = None;
         let mut untried: Vec<&Server> = Vec::new();
         for server in self.registry.usable(request.service) {
             if request.tried.contains(&server.key) {
                 continue;
             }
-            match self.backoff(server.key, now) {
-                Some(backoff) => {
-                    min_backoff = Some(min_backoff.map_or(backoff, |min| min.min(backoff)));
+            match self.unavailability(request, server.key, now) {
+                Some((wait, error)) => {
+                    if unavailable.is_none_or(|(min, _)| wait < min) {
+                        unavailable = Some((wait, error));
+                    }
                 }
                 None => untried.push(server),
             }
         }
         if untried.is_empty() {
-            return Err(min_backoff.map_or(PlacementError::NoServer, PlacementError::BackingOff));
+            return Err(unavailable.map_or(PlacementError::NoServer, |(_, error)| error));
         }
         let healthy: Vec<&Server> = untried
             .iter()
@@ -101,6 +106,37 @@
         Ok(if healthy.is_empty() { untried } else { healthy })
     }
 
+    /// Returns the precedence of a request at servers that have named a limit.
+    #[must_use]
+    pub fn permit_priority(&self, request: &PlacementRequest) -> Priority {
+        let is_small = request
+            .prompt
+            .is_some_and(|prompt| (prompt.tokens as f64) < self.mean_prompt_tokens);
+        if request.admission_class.is_spare() {
+            Priority::Spare
+        } else if is_small {
+            Priority::Small
+        } else {
+            Priority::Large
+        }
+    }
+
+    /// Returns for how long a server wants no further requests, and why.
+    fn unavailability(
+        &self,
+        request: &PlacementRequest,
+        key: ServerKey,
+        now: Duration,
+    ) -> Option<(Duration, PlacementError)> {
+        if let Some(backoff) = self.backoff(key, now) {
+            return Some((backoff, PlacementError::BackingOff(backoff)));
+        }
+        let wait = self.limits.wait(key, self.permit_priority(request), now);
+        let is_left_out = !request.allows_limited && self.limits.is_limited(key);
+        let wait = wait.or(is_left_out.then_some(Duration::ZERO))?;
+        Some((wait, PlacementError::Limited(wait)))
+    }
+
     fn plain_candidates<'a>(
         &self,
         request: &PlacementRequest,
--- a/crates/place/src/placement_request.rs
+++ b/crates/place/src/placement_request.rs
@@ -31,6 +31,12 @@
     pub fn is_beyond_share(self) -> bool {
         matches!(self, Self::BeyondShare { .. })
     }
+
+    /// Returns whether the request gets only the capacity that others leave.
+    #[must_use]
+    pub fn is_spare(self) -> bool {
+        matches!(self, Self::Late | Self::BeyondShare { .. })
+    }
 }
 
 /// A request to be placed on a server.
@@ -54,6 +60,8 @@
     pub tried: &'a [ServerKey],
     /// Determines the capacity bounds that apply.
     pub admission_class: AdmissionClass,
+    /// Whether servers that have named a limit are considered.
+    pub allows_limited: bool,
     /// Whether engines of the service can fetch cached parts from one another.
     pub can_fetch: bool,
     /// Memory of each engine of the service, in tokens; 0 if unknown.
@@ -77,6 +85,8 @@
     pub max_cached_tokens: u64,
     /// Engine to fetch cached parts from, if one has more of the prompt cached.
     pub fetch_from: Option<SocketAddr>,
+    /// Whether the request may be sent although the server has named a limit.
+    pub has_permit: bool,
 }
 
 /// Reason that a request cannot be placed.
@@ -86,6 +96,8 @@
     NoServer,
     /// All servers want no requests from this router for at least this time.
     BackingOff(Duration),
+    /// The limits that the servers have named leave no request for at least this time.
+    Limited(Duration),
     /// No server can take the request now.
     Busy(Congestion),
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -5,12 +5,15 @@
         CacheView, ConnectionLimits, Health, Load, Part, Peers, Placement, Prompt, Registry,
         Server, ServerKey, ServerOutcome, Tuning, convert::fraction_of,
     },
+    baobab_limit::Limits,
     baobab_unit::HostId,
     std::{collections::HashMap, time::Duration},
 };
 
 /// Weight of the newest first event in an engine's exponentially weighted slowdown.
 const SLOWDOWN_EWMA_WEIGHT: f64 = 0.1;
+/// Weight of the newest prompt in the exponentially weighted mean length of prompts.
+const PROMPT_EWMA_WEIGHT: f64 = 0.01;
 /// Maximum number of used parts that wait to be reported; further ones are not reported.
 const MAX_UNREPORTED_PARTS: usize = 2048;
 /// Maximum time for which a server can ask for no requests.
@@ -49,10 +52,14 @@
     pub registry: Registry,
     /// Loads and workspace rates reported by the other routers.
     pub peers: Peers,
+    /// Limits that servers have named.
+    pub limits: Limits,
     pub(crate) tuning: Tuning,
     pub(crate) states: HashMap<ServerKey, ServerState>,
     unreported_parts: Vec<(ServerKey, Part)>,
     reported_parts: ReportedParts,
+    /// Exponentially weighted mean length of the prompts sent.
+    pub(crate) mean_prompt_tokens: f64,
     /// Routers of the fleet, if known otherwise than by their reports.
     fleet_size: usize,
 }
@@ -73,10 +80,12 @@
         Self {
             registry,
             peers,
+            limits: Limits::default(),
             tuning,
             states: HashMap::new(),
             unreported_parts: Vec::new(),
             reported_parts: ReportedParts::Shared,
+            mean_prompt_tokens: 0.0,
             fleet_size: 1,
         }
     }
@@ -110,6 +119,8 @@
         let Some(prompt) = prompt else {
             return load;
         };
+        self.mean_prompt_tokens +=
+            PROMPT_EWMA_WEIGHT * (prompt.tokens as f64 - self.mean_prompt_tokens);
         let shared_count = prompt.shared().len();
         for (index, part) in prompt.parts.iter().enumerate() {
             let is_reported = match self.reported_parts {
@@ -269,6 +280,7 @@
                 || state.load != Load::default()
                 || state.backoff_until.is_some_and(|until| until > now)
         });
+        self.limits.retain(|key| registry.get(key).is_some());
     }
 
     /// Sets the cache capacity of a service's engines from the memory of each, in tokens.
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -1,6 +1,7 @@
 //! Server selection by load, cached parts, admission class and health.
 
 use {
+    baobab_limit::Priority,
     baobab_place::{
         AdmissionClass, ConnectionLimits, Load, Part, PeerReport, Peers, Placement, PlacementError,
         PlacementRequest, Placer, Prompt, Registry, Server, ServerOutcome, Tuning,
@@ -68,6 +69,7 @@
         seed: 1,
         tried: &[],
         admission_class,
+        allows_limited: true,
         can_fetch: true,
         memory_tokens: MEMORY_TOKENS,
         max_connections: 360,
@@ -321,6 +323,7 @@
         cached_tokens: 0,
         max_cached_tokens: 0,
         fetch_from: None,
+        has_permit: false,
     }
 }
 
@@ -428,6 +431,76 @@
     assert!(placer.accepts(3, NOW + Duration::from_secs(2)));
 }
 
+#[test]
+fn servers_whose_limit_is_used_up_are_left_out_until_it_leaves_a_request() {
+    let prompt = prompt(1, 2, 9_000);
+    let mut placer = placer(2);
+    let request = placement_request(&prompt, AdmissionClass::Modest);
+    let is_chosen = |placer: &Placer, key: u32, at_ms: u64| {
+        let result = placer.place(&request, NOW + Duration::from_millis(at_ms));
+        result.is_ok_and(|placement| placement.server.key == key)
+    };
+    placer.limits.on_response(1, Some(2.0));
+    placer
+        .limits
+        .on_refused(1, Priority::Large, Duration::from_millis(300), NOW);
+    assert!(is_chosen(&placer, 2, 0));
+    placer.limits.on_response(2, Some(5.0));
+    placer
+        .limits
+        .on_refused(2, Priority::Large, Duration::from_millis(400), NOW);
+    let error = placer.place(&request, NOW).unwrap_err();
+    assert_eq!(error, PlacementError::Limited(Duration::from_millis(300)));
+    assert!(is_chosen(&placer, 1, 300));
+    let others_only = PlacementRequest {
+        allows_limited: false,
+        ..placement_request(&prompt, AdmissionClass::Modest)
+    };
+    assert!(
+        placer
+            .place(&others_only, NOW + Duration::from_secs(1))
+            .is_err()
+    );
+    // Servers that ask for no requests count as well: the first time at which any takes one is told.
+    placer.on_backoff(1, Duration::from_millis(200), NOW);
+    let error = placer.place(&request, NOW).unwrap_err();
+    assert_eq!(
+        error,
+        PlacementError::BackingOff(Duration::from_millis(200))
+    );
+    placer.limits.on_response(2, None);
+    assert!(is_chosen(&placer, 2, 0));
+}
+
+#[test]
+fn permits_go_to_larger_prompts_within_the_share_first() {
+    let (large, small) = (prompt(1, 2, 9_000), prompt(1, 3, 5_100));
+    let mut placer = placer(2);
+    for _ in 0..200 {
+        for prompt in [&large, &small] {
+            let _ = placer.on_sent(&placement(1), Some(prompt), NOW);
+        }
+    }
+    let within = AdmissionClass::WithinShare { unused: 0.5 };
+    let beyond = AdmissionClass::BeyondShare { excess: 1.0 };
+    let cases = [
+        (&large, AdmissionClass::Modest, Priority::Large),
+        (&large, within, Priority::Large),
+        (&small, within, Priority::Small),
+        (&large, AdmissionClass::Late, Priority::Spare),
+        (&large, beyond, Priority::Spare),
+        (&small, beyond, Priority::Spare),
+    ];
+    for (prompt, admission_class, expected) in cases {
+        let request = placement_request(prompt, admission_class);
+        assert_eq!(
+            placer.permit_priority(&request),
+            expected,
+            "{admission_class:?}"
+        );
+    }
+}
+
 /// Engines with few slots serve most of them; those with many keep memory and speed in reserve.
 #[test]
 fn running_requests_are_bounded_by_slots_on_small_engines_and_by_number_on_large_ones() {
--- a/crates/place/tests/sample.rs
+++ b/crates/place/tests/sample.rs
@@ -51,6 +51,7 @@
         seed,
         tried: &[],
         admission_class: AdmissionClass::Modest,
+        allows_limited: true,
         can_fetch: false,
         memory_tokens: 0,
         max_connections: 1900,
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -202,12 +202,7 @@
 
     /// Takes one retry from this router's part of the fleet's budget. Returns whether one was left.
     pub fn try_retry(&self, service: &str, reason: &str) -> bool {
-        let (ratio, allowance) = {
-            let bounds = self.bounds.borrow();
-            (bounds.retry_ratio, bounds.retry_allowance)
-        };
-        let fixed =
-            allowance * RETRY_ALLOWANCE_FRACTION / self.peer_directory.borrow().fleet_size() as f64;
+        let (ratio, fixed) = self.retry_bounds();
         let now = self.now();
         let is_allowed = self
             .retry_budgets
@@ -225,6 +220,24 @@
         is_allowed
     }
 
+    /// Returns whether this router's part of the fleet's budget has a retry left.
+    pub fn may_retry(&self, service: &str) -> bool {
+        let (ratio, fixed) = self.retry_bounds();
+        let now = self.now();
+        self.retry_budgets
+            .borrow_mut()
+            .get_mut(service)
+            .is_some_and(|budget| budget.may_retry(ratio, fixed, now))
+    }
+
+    /// Returns the retries allowed per request, and the number allowed besides.
+    fn retry_bounds(&self) -> (f64, f64) {
+        let bounds = self.bounds.borrow();
+        let fleet_size = self.peer_directory.borrow().fleet_size() as f64;
+        let fixed = bounds.retry_allowance * RETRY_ALLOWANCE_FRACTION / fleet_size;
+        (bounds.retry_ratio, fixed)
+    }
+
     /// Records that a server has sent nothing for so long that a request looks for another one.
     pub fn on_silence(&self, service: &str, server: ServerKey) {
         let is_ejected = self.placer.borrow_mut().on_silence(server, self.now());
--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -7,7 +7,12 @@
         problem::{Problem, Reason},
         retry_after::{RefusalCause, retry_after},
     },
-    crate::{core::Core, gossip::Owned, loads},
+    crate::{
+        core::Core,
+        gossip::Owned,
+        limits::{self, Permit},
+        loads,
+    },
     baobab_place::{AdmissionClass, Congestion, Placement, PlacementError},
     baobab_quarantine::Verdict,
     baobab_unit::millis,
@@ -22,6 +27,9 @@
 const NEXT_SAMPLE_DELAY: Duration = Duration::from_millis(15);
 /// Maximum number of samples for a request within its workspace's share.
 const MAX_SAMPLES: u32 = 3;
+/// Permits for servers with a limit that are refused to a request that can't wait any longer, before it
+/// goes to others only.
+const MAX_REFUSED_PERMITS: u32 = 3;
 /// Delay before a retry if no server can be used: about the interval between announcements.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -33,21 +41,33 @@
     }
     let wait_until = job.arrived + job.route.objective.mul_f64(MAX_WAIT_OBJECTIVE_FRACTION);
     let mut round = 0;
+    let mut refused_permits = 0;
     loop {
         let admission_class = admission_class(core, job);
         let tried = attempts.tried();
-        let request = job.placement_request(&core.settings.domain, &tried, admission_class);
+        let request = job.placement_request(
+            &core.settings.domain,
+            &tried,
+            admission_class,
+            may_ask_permit(core, refused_permits, wait_until),
+        );
         let asks_owners = loads::asks_owners(core);
         let result = if asks_owners {
             loads::place(core, &request, round).await
         } else {
             core.placer.borrow().place(&request, core.now())
         };
-        round += 1;
         match result {
-            Ok(placement) => {
-                charge(core, job, admission_class);
-                return Ok(placement);
+            Ok(mut placement) => {
+                let priority = core.placer.borrow().permit_priority(&request);
+                let permit = limits::take_permit(core, job, &placement.server, priority).await;
+                if permit == Permit::Refused {
+                    refused_permits += 1;
+                } else {
+                    placement.has_permit = permit == Permit::Granted;
+                    charge(core, job, admission_class);
+                    return Ok(placement);
+                }
             }
             Err(PlacementError::NoServer) => {
                 let delay = retry_after(
@@ -60,10 +80,28 @@
             Err(PlacementError::BackingOff(backoff)) => {
                 return Err(backing_off(core, job, backoff));
             }
+            Err(PlacementError::Limited(wait)) => {
+                round += 1;
+                if asks_owners && round < max_samples(core, admission_class) {
+                    continue;
+                }
+                let retry_at = Instant::now() + wait;
+                if retry_at >= wait_until {
+                    return Err(limited(core, job, admission_class, wait));
+                }
+                sleep_until(retry_at).await;
+            }
             Err(PlacementError::Busy(congestion)) => {
+                round += 1;
                 let is_last = asks_owners && round >= max_samples(core, admission_class);
                 if is_last || Instant::now() >= wait_until {
-                    return Err(refusal(core, job, admission_class, congestion));
+                    return Err(refusal(
+                        core,
+                        job,
+                        admission_class,
+                        congestion,
+                        refused_permits,
+                    ));
                 }
                 if asks_owners {
                     sleep_until(wait_until.min(Instant::now() + NEXT_SAMPLE_DELAY)).await;
@@ -111,6 +149,13 @@
     }
 }
 
+/// Returns whether a request may go to a server that has named a limit. The answers of the servers'
+/// owners would reach an overloaded router late.
+fn may_ask_permit(core: &Core, refused_permits: u32, wait_until: Instant) -> bool {
+    !core.overload.borrow().is_overloaded()
+        && (refused_permits < MAX_REFUSED_PERMITS || Instant::now() < wait_until)
+}
+
 /// Returns how many samples of servers are asked for a request. Each costs a dozen datagrams, which
 /// a flood would multiply: requests beyond the share, late ones and those at an overloaded router
 /// get one.
@@ -141,6 +186,21 @@
     Problem::with_retry_after(Reason::BackingOff, delay.max(backoff))
 }
 
+/// Refuses a request at once: the limits that the servers have named leave none for `wait`.
+fn limited(core: &Core, job: &Job, admission_class: AdmissionClass, wait: Duration) -> Problem {
+    log::info!(
+        id = job.id.as_str(),
+        service = job.service.as_str(),
+        workspace = job.workspace_name(),
+        standing:? = admission_class,
+        wait_ms = millis(wait);
+        "limits of all servers are used up"
+    );
+    let cause = RefusalCause::Busy { available_in: wait };
+    let delay = retry_after(cause, job.time_left(), core.random_fraction());
+    Problem::with_retry_after(Reason::Limited, delay.max(wait))
+}
+
 fn admission_class(core: &Core, job: &Job) -> AdmissionClass {
     let admission_class = match &job.caller {
         Some(caller) => core.shares.borrow().admission_class(caller.workspace),
@@ -180,6 +240,7 @@
     job: &Job,
     admission_class: AdmissionClass,
     congestion: Congestion,
+    refused_permits: u32,
 ) -> Problem {
     log::info!(
         id = job.id.as_str(),
@@ -190,6 +251,7 @@
         late = congestion.late,
         full = congestion.full,
         out_of_memory = congestion.out_of_memory,
+        refused_permits,
         time_left_ms = millis(job.time_left()),
         objective_ms = millis(job.route.objective);
         "no engine would answer on time"
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -10,7 +10,8 @@
     crate::{
         core::Core,
         evidence::AnswerBeginning,
-        header_codec::{ForwardHeaders, ResponseOrigin},
+        header_codec::{ForwardHeaders, LimitNotice, ResponseOrigin},
+        limits,
         pool::{ConnectionReuse, OpenError},
     },
     baobab_client::{Connection, SendError},
@@ -40,9 +41,9 @@
         NotSent(reason: String) {
             display("nothing was sent: {reason}")
         }
-        /// The server began to leave or asked for no requests after it was chosen.
+        /// The server began to leave, asked for no requests or named a limit after it was chosen.
         Unavailable {
-            display("the server is leaving or has asked for no requests")
+            display("the server is leaving, has asked for no requests or has named a limit")
         }
         /// All connections that the router may have to the server are in use.
         NoConnection(max_connections: usize) {
@@ -118,7 +119,7 @@
             None => open(core, load_guard).await?,
         };
         let mut active = ActiveConnection::new(core, load_guard, connection);
-        if !core.placer.borrow().accepts(server.key, core.now()) {
+        if !is_accepted(core, load_guard) {
             return Err(AttemptError::Unavailable);
         }
         let request = build_request(core, job, load_guard, fetch_from, resume_after);
@@ -140,6 +141,13 @@
     }
 }
 
+fn is_accepted(core: &Core, load_guard: &LoadGuard) -> bool {
+    let placer = core.placer.borrow();
+    let server = load_guard.server.key;
+    placer.accepts(server, core.now())
+        && (load_guard.has_permit || !placer.limits.is_limited(server))
+}
+
 async fn open(core: &Rc<Core>, load_guard: &LoadGuard) -> Result<Connection, AttemptError> {
     core.metrics
         .connections
@@ -252,6 +260,15 @@
             .on_backoff(server.key, backoff, now);
         log::info!(server = server.id.as_str(), backoff_ms = millis(backoff); "server asks for no requests");
     }
+    match notices.limit {
+        LimitNotice::None => limits::on_response(core, server.key, None),
+        LimitNotice::Limit(limit_per_s) => {
+            limits::on_response(core, server.key, Some(limit_per_s));
+        }
+        LimitNotice::Unreadable => {
+            log::warn!(server = server.id.as_str(); "server names a limit that cannot be read");
+        }
+    }
 }
 
 fn keep_alive(head: &response::Parts) -> KeepAlive {
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -139,7 +139,7 @@
     if attempts.is_first_silence(silent) {
         core.on_silence(&job.service, silent);
     }
-    let placement = if attempts.sent() < job.route.max_attempts {
+    let placement = if attempts.sent() < job.route.max_attempts && core.may_retry(&job.service) {
         place(core, job, attempts).await.ok()
     } else {
         None
@@ -177,7 +177,8 @@
         unread = placement.prefill_tokens,
         held = placement.cached_tokens,
         most_held = placement.max_cached_tokens,
-        fetches = placement.fetch_from.is_some();
+        fetches = placement.fetch_from.is_some(),
+        has_permit = placement.has_permit;
         "request is sent"
     );
     let silence_timeout = silence_timeout(job, attempts, &placement);
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -120,6 +120,7 @@
         domain: &'a str,
         tried: &'a [ServerKey],
         admission_class: AdmissionClass,
+        allows_limited: bool,
     ) -> PlacementRequest<'a> {
         PlacementRequest {
             service: &self.service,
@@ -131,6 +132,7 @@
             seed: self.seed,
             tried,
             admission_class,
+            allows_limited,
             can_fetch: self
                 .engine
                 .as_ref()
--- a/crates/relay/src/forward/load_guard.rs
+++ b/crates/relay/src/forward/load_guard.rs
@@ -15,6 +15,8 @@
     pub server: Server,
     /// Limits on this router's connections to the server.
     pub limits: ConnectionLimits,
+    /// Whether the request may be sent although the server has named a limit.
+    pub has_permit: bool,
     load: Load,
     predicted_first_event: Duration,
     sent_at: Instant,
@@ -35,6 +37,7 @@
             core: Rc::clone(core),
             server: placement.server,
             limits,
+            has_permit: placement.has_permit,
             load,
             predicted_first_event: placement.predicted_first_event,
             sent_at: Instant::now(),
--- a/crates/relay/src/forward/problem.rs
+++ b/crates/relay/src/forward/problem.rs
@@ -29,6 +29,8 @@
     NoServer,
     /// All servers have asked for no requests for some time.
     BackingOff,
+    /// The limits that the servers have named are used up.
+    Limited,
     /// No server would respond on time.
     Busy,
     /// No server would respond on time, and the workspace has used its share.
@@ -64,6 +66,7 @@
             Self::NoMemory => "no_memory",
             Self::NoServer => "no_server",
             Self::BackingOff => "servers_backing_off",
+            Self::Limited => "servers_limited",
             Self::Busy => "busy",
             Self::OverShare => "over_share",
             Self::Quarantined => "prompt_quarantined",
@@ -95,6 +98,7 @@
             | Self::NoMemory
             | Self::NoServer
             | Self::BackingOff
+            | Self::Limited
             | Self::Busy
             | Self::Quarantined
             | Self::ServersRefused
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -4,9 +4,11 @@
     super::{
         evidence_message::{EvidenceMessage, WireEvidence},
         owner_message::{
-            LoadAnswer, LoadQuery, RateAnswer, WireLoadAnswer, WireLoadQuery, WireRateAnswer,
+            LoadAnswer, LoadQuery, RateAnswer, WireLimit, WireLoadAnswer, WireLoadQuery,
+            WireRateAnswer,
         },
     },
+    baobab_limit::Notice,
     baobab_place::{Load, Part, PeerReport, ServerKey, WorkspaceGroup, WorkspaceRates},
     baobab_routing::ConfigurationVersion,
     baobab_unit::{WorkspaceId, millis},
@@ -54,6 +56,8 @@
     pub rate_answers: Vec<RateAnswer>,
     /// Evidence against prompt parts.
     pub evidence: EvidenceMessage,
+    /// What servers say of their limits.
+    pub limits: Vec<(ServerKey, Notice)>,
 }
 
 /// Confirmation by the store that a version is the newest one, as routers exchange it: without a
@@ -105,6 +109,7 @@
     claim_queries: Vec<u32>,
     claim_answers: Vec<WireRateAnswer>,
     evidence: WireEvidence,
+    limits: Vec<WireLimit>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -152,6 +157,7 @@
                 .map(WireRateAnswer::from)
                 .collect(),
             evidence: WireEvidence::from(&message.evidence),
+            limits: message.limits.iter().map(WireLimit::from).collect(),
         }
     }
 }
@@ -177,6 +183,7 @@
                 .map(RateAnswer::from)
                 .collect(),
             evidence: wire.evidence.into(),
+            limits: wire.limits.into_iter().map(From::from).collect(),
         }
     }
 }
--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -12,7 +12,10 @@
     evidence_message::{Clearance, CrashReport, EvidenceMessage},
     message::{GossipConfirmation, GossipMessage, PartUpdate, TableUpdate},
     outbox::Outbox,
-    owner_message::{HolderAnswer, LoadAnswer, LoadQuery, QueryNumber, RateAnswer, ServerAnswer},
+    owner_message::{
+        HolderAnswer, LoadAnswer, LoadQuery, PermitAnswer, PermitQuery, QueryNumber, RateAnswer,
+        ServerAnswer,
+    },
     peer_directory::{Owned, PeerDirectory},
     seal::PeerKey,
     socket::GossipSocket,
--- a/crates/relay/src/gossip/owner_message.rs
+++ b/crates/relay/src/gossip/owner_message.rs
@@ -3,6 +3,7 @@
 
 use {
     super::message::{WireLoad, WireWorkspaceRates},
+    baobab_limit::{Notice, Priority},
     baobab_place::{Load, PartId, ServerKey, WorkspaceGroup, WorkspaceRates},
     baobab_unit::{WorkspaceId, millis},
     serde::{Deserialize, Serialize},
@@ -11,7 +12,7 @@
 
 /// Asks a router for the load on servers that it owns, and where a prompt part that it owns is
 /// cached.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct LoadQuery {
     /// Number by which the answer is recognised.
     pub number: QueryNumber,
@@ -19,10 +20,32 @@
     pub servers: Vec<ServerKey>,
     /// Last shared part of the prompt that is to be placed.
     pub part: Option<PartId>,
+    /// Permit that is asked for.
+    pub permit: Option<PermitQuery>,
+}
+
+/// Asks the owner of a server that has named a limit for the permit to send it one request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PermitQuery {
+    /// The server.
+    pub server: ServerKey,
+    /// What the asking router knows of the limit.
+    pub notice: Notice,
+    /// Precedence of the request.
+    pub priority: Priority,
+}
+
+/// Answer to a [`PermitQuery`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PermitAnswer {
+    /// One request may be sent at once.
+    Granted,
+    /// The limit leaves no request for this time.
+    Refused(Duration),
 }
 
 /// Answer to a [`LoadQuery`].
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct LoadAnswer {
     /// Number of the query.
     pub number: QueryNumber,
@@ -30,6 +53,10 @@
     pub servers: Vec<ServerAnswer>,
     /// The engines that have the part cached, the last user first.
     pub holders: Vec<HolderAnswer>,
+    /// Answer on the permit, if one was asked for.
+    pub permit: Option<PermitAnswer>,
+    /// What is known of the limits of the query's servers.
+    pub limits: Vec<(ServerKey, Notice)>,
 }
 
 /// An engine that has the part of a query cached.
@@ -75,6 +102,27 @@
     number: u32,
     servers: Vec<u32>,
     part: Option<u64>,
+    permit: Option<WirePermitQuery>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WirePermitQuery {
+    limit: WireLimit,
+    priority: u8,
+}
+
+/// Wire format of a server's [`Notice`].
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WireLimit {
+    server: u32,
+    version: u32,
+    limit_per_s: Option<f64>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WirePermitAnswer {
+    Granted,
+    Refused { wait_ms: u64 },
 }
 
 /// Wire format of [`LoadAnswer`].
@@ -83,6 +131,8 @@
     number: u32,
     loads: Vec<WireLoad>,
     holders: Vec<WireHolder>,
+    permit: Option<WirePermitAnswer>,
+    limits: Vec<WireLimit>,
 }
 
 /// Wire format of [`HolderAnswer`].
@@ -116,6 +166,7 @@
             number: query.number,
             servers: query.servers.clone(),
             part: query.part,
+            permit: query.permit.as_ref().map(WirePermitQuery::from),
         }
     }
 }
@@ -126,6 +177,7 @@
             number: wire.number,
             servers: wire.servers,
             part: wire.part,
+            permit: wire.permit.map(PermitQuery::from),
         }
     }
 }
@@ -136,6 +188,8 @@
             number: answer.number,
             loads: answer.servers.iter().map(WireLoad::from).collect(),
             holders: answer.holders.iter().map(WireHolder::from).collect(),
+            permit: answer.permit.as_ref().map(WirePermitAnswer::from),
+            limits: answer.limits.iter().map(WireLimit::from).collect(),
         }
     }
 }
@@ -146,10 +200,76 @@
             number: wire.number,
             servers: wire.loads.into_iter().map(ServerAnswer::from).collect(),
             holders: wire.holders.into_iter().map(HolderAnswer::from).collect(),
+            permit: wire.permit.map(PermitAnswer::from),
+            limits: wire.limits.into_iter().map(From::from).collect(),
         }
     }
 }
 
+impl From<&PermitQuery> for WirePermitQuery {
+    fn from(query: &PermitQuery) -> Self {
+        Self {
+            limit: WireLimit::from(&(query.server, query.notice)),
+            priority: query.priority as u8,
+        }
+    }
+}
+
+impl From<WirePermitQuery> for PermitQuery {
+    fn from(wire: WirePermitQuery) -> Self {
+        let (server, notice) = wire.limit.into();
+        let priority = Priority::ALL.get(usize::from(wire.priority));
+        Self {
+            server,
+            notice,
+            priority: priority.copied().unwrap_or(Priority::Spare),
+        }
+    }
+}
+
+impl From<&PermitAnswer> for WirePermitAnswer {
+    fn from(answer: &PermitAnswer) -> Self {
+        match answer {
+            PermitAnswer::Granted => Self::Granted,
+            PermitAnswer::Refused(wait) => Self::Refused {
+                wait_ms: millis(*wait),
+            },
+        }
+    }
+}
+
+impl From<WirePermitAnswer> for PermitAnswer {
+    fn from(wire: WirePermitAnswer) -> Self {
+        match wire {
+            WirePermitAnswer::Granted => Self::Granted,
+            WirePermitAnswer::Refused { wait_ms } => Self::Refused(Duration::from_millis(wait_ms)),
+        }
+    }
+}
+
+impl From<&(ServerKey, Notice)> for WireLimit {
+    fn from((server, notice): &(ServerKey, Notice)) -> Self {
+        Self {
+            server: *server,
+            version: notice.version,
+            limit_per_s: notice.limit_per_s,
+        }
+    }
+}
+
+impl From<WireLimit> for (ServerKey, Notice) {
+    fn from(wire: WireLimit) -> Self {
+        let limit_per_s = wire
+            .limit_per_s
+            .filter(|limit| limit.is_finite() && *limit >= 0.0);
+        let notice = Notice {
+            version: wire.version,
+            limit_per_s,
+        };
+        (wire.server, notice)
+    }
+}
+
 impl From<&ServerAnswer> for WireLoad {
     fn from(answer: &ServerAnswer) -> Self {
         Self::from(&(answer.server, answer.load))
--- a/crates/relay/src/gossip/peer_directory.rs
+++ b/crates/relay/src/gossip/peer_directory.rs
@@ -53,6 +53,8 @@
     own_host: HostId,
     entries: BTreeMap<HostId, PeerEntry>,
     silent_after: Duration,
+    /// Whether the routers of the fleet were ever listed.
+    is_listed: bool,
     /// Owners found since the last call of [`PeerDirectory::forget_owners`].
     owners: RefCell<HashMap<Owned, Option<HostId>>>,
 }
@@ -86,6 +88,7 @@
             own_host: id_of(own_host),
             entries: BTreeMap::new(),
             silent_after: MIN_SILENT_AFTER,
+            is_listed: false,
             owners: RefCell::default(),
         }
     }
@@ -117,6 +120,7 @@
     pub fn replace(&mut self, peers: Vec<PeerHost>, now: Duration) {
         let listed: Vec<HostId> = peers.iter().map(|peer| id_of(&peer.host)).collect();
         self.entries.retain(|host, _| listed.contains(host));
+        self.is_listed = true;
         for peer in peers {
             self.insert(peer, now);
         }
@@ -147,6 +151,19 @@
         self.entries.len() + 1
     }
 
+    /// Returns the part of the fleet that this router reaches, itself included: 1 if it reaches all,
+    /// 0 if it does not know them yet.
+    #[must_use]
+    pub fn reachable_share(&self, now: Duration) -> f64 {
+        if !self.is_listed {
+            return 0.0;
+        }
+        let reachable = self.entries.values().filter(|entry| {
+            !entry.is_silent(self.silent_after, now) && !entry.is_unresponsive(now)
+        });
+        (reachable.count() + 1) as f64 / self.fleet_size() as f64
+    }
+
     /// Returns how many routers that are not silent precede this one, in the order of host ids that
     /// all routers share.
     #[must_use]
--- a/crates/relay/src/header_codec.rs
+++ b/crates/relay/src/header_codec.rs
@@ -1,6 +1,7 @@
 //! Interface to the deployment's headers, so that the router does not depend on their names.
 
 use {
+    baobab_limit::LimitPerS,
     baobab_place::{Prompt, ServerId},
     http::{HeaderMap, response},
     quick_error::quick_error,
@@ -63,13 +64,27 @@
     Foreign,
 }
 
+/// What a response says of its server's limit on the requests from all routers together.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum LimitNotice {
+    /// It names none: the server has no limit, or has none any more.
+    #[default]
+    None,
+    /// It names this limit.
+    Limit(LimitPerS),
+    /// What it says cannot be read.
+    Unreadable,
+}
+
 /// What a server says of itself in the head of a response.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServerNotices {
     /// Whether it is leaving and wants no new requests.
     pub is_leaving: bool,
     /// Time for which it wants no requests from this router, if it has turned this one away.
     pub backoff: Option<Duration>,
+    /// Its limit on the requests from all routers together.
+    pub limit: LimitNotice,
 }
 
 /// Reads and writes the headers of one deployment.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod header_codec;
 mod identity;
+mod limits;
 mod loads;
 mod metrics;
 mod operators;
@@ -29,10 +30,11 @@
     evidence::EvidenceOutbox,
     gossip::{
         Clearance, CrashReport, EvidenceMessage, HolderAnswer, LoadAnswer, LoadQuery, Outbox,
-        PeerKey, ServerAnswer,
+        PeerKey, PermitAnswer, PermitQuery, ServerAnswer,
     },
     header_codec::{
-        ForwardHeaders, HeaderCodec, HeaderError, RequestHeaders, ResponseOrigin, ServerNotices,
+        ForwardHeaders, HeaderCodec, HeaderError, LimitNotice, RequestHeaders, ResponseOrigin,
+        ServerNotices,
     },
     identity::Identity,
     overload::Overload,
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -4,10 +4,11 @@
     crate::{
         core::Core,
         gossip::{
-            GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, Owned, PartUpdate, QueryNumber,
-            RateAnswer, ServerAnswer,
+            GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, Owned, PartUpdate, PermitAnswer,
+            PermitQuery, QueryNumber, RateAnswer, ServerAnswer,
         },
-        owners::{OwnerReport, group_by_owner},
+        limits,
+        owners::{OwnerReport, QueryOutcome, group_by_owner},
     },
     baobab_place::{
         Part, PartHolder, PartId, PeerReport, Placement, PlacementError, PlacementRequest, Prompt,
@@ -66,6 +67,28 @@
     if queries.is_empty() {
         return;
     }
+    send_queries(core, shared, queries).await;
+}
+
+/// Asks the owner of a server for the permit to send it one request. Returns none if it does not
+/// answer in time.
+pub async fn ask_permit(core: &Core, host: HostId, permit: PermitQuery) -> Option<PermitAnswer> {
+    let query = LoadQuery {
+        number: 0,
+        servers: Vec::new(),
+        part: None,
+        permit: Some(permit),
+    };
+    let queries = BTreeMap::from([(host, query)]);
+    send_queries(core, &[], queries).await.permit
+}
+
+/// Sends questions to routers and waits for their answers.
+async fn send_queries(
+    core: &Core,
+    shared: &[Part],
+    queries: BTreeMap<HostId, LoadQuery>,
+) -> QueryOutcome {
     let (number, answered) = core
         .owners
         .borrow_mut()
@@ -85,11 +108,11 @@
         Ok(()) => "answered",
         Err(_) => "timed_out",
     };
-    question.close();
     core.metrics
         .load_queries
         .with_label_values(&[outcome])
         .inc();
+    question.close()
 }
 
 /// A question that waits for answers. Dropping it, as when its caller leaves, closes it.
@@ -100,13 +123,14 @@
 
 impl OpenQuestion<'_> {
     /// Closes the question and records which routers have not answered in time.
-    fn close(self) {
-        let missing = self.core.owners.borrow_mut().close(self.number);
+    fn close(self) -> QueryOutcome {
+        let outcome = self.core.owners.borrow_mut().close(self.number);
         let now = self.core.now();
         let mut peer_directory = self.core.peer_directory.borrow_mut();
-        for host in missing {
-            peer_directory.on_missed_answer(host, now);
+        for host in &outcome.missing {
+            peer_directory.on_missed_answer(*host, now);
         }
+        outcome
     }
 }
 
@@ -130,6 +154,7 @@
         number: 0,
         servers: Vec::new(),
         part: None,
+        permit: None,
     };
     for &server in servers {
         match peer_directory.owner(Owned::Server(server), now) {
@@ -153,6 +178,10 @@
         return;
     };
     let now = core.now();
+    let permit = query
+        .permit
+        .as_ref()
+        .map(|permit| limits::on_permit_query(core, host, permit));
     let placer = core.placer.borrow();
     let server_answer = |&server: &ServerKey| ServerAnswer {
         server,
@@ -170,6 +199,14 @@
             number: query.number,
             servers: query.servers.iter().map(server_answer).collect(),
             holders: holders.into_iter().map(holder_answer).collect(),
+            permit,
+            limits: query
+                .servers
+                .iter()
+                .chain(query.permit.as_ref().map(|permit| &permit.server))
+                .map(|&server| (server, placer.limits.notice(server)))
+                .filter(|(_, notice)| notice.version > 0)
+                .collect(),
         }),
         ..GossipMessage::default()
     };
@@ -193,6 +230,7 @@
         return;
     };
     let now = core.now();
+    limits::on_notices(core, host, &answer.limits);
     let mut placer = core.placer.borrow_mut();
     for server_answer in &answer.servers {
         let load = server_answer.load;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -25,6 +25,8 @@
     pub ejections: IntCounterVec,
     /// Questions to the owners of servers, by outcome.
     pub load_queries: IntCounterVec,
+    /// Permits to send requests to servers with a limit, by outcome.
+    pub permits: IntCounterVec,
     /// Gossip datagrams, sent and received, by outcome.
     pub datagrams: IntCounterVec,
     /// Opened connections by service.
@@ -37,6 +39,8 @@
     pub in_flight: IntGauge,
     /// Quarantined prompt parts.
     pub quarantined_parts: IntGauge,
+    /// Servers that have named a limit.
+    pub limited_servers: IntGauge,
 }
 
 impl Metrics {
@@ -78,6 +82,10 @@
             "baobab_quarantined_parts",
             "Prompt parts that crash engines and are refused.",
         );
+        let limited_servers = gauge(
+            "baobab_limited_servers",
+            "Servers that limit the requests from all routers.",
+        );
         Self {
             requests: counter(
                 "baobab_requests_total",
@@ -97,6 +105,11 @@
                 "Questions to the owners of servers for their load.",
                 &["outcome"],
             ),
+            permits: counter(
+                "baobab_limit_permits_total",
+                "Permits to send requests to servers with a limit.",
+                &["outcome"],
+            ),
             datagrams: counter(
                 "baobab_datagrams_total",
                 "Datagrams of routers.",
@@ -115,6 +128,7 @@
             first_byte,
             in_flight,
             quarantined_parts,
+            limited_servers,
             registry,
         }
     }
--- a/crates/relay/src/owners.rs
+++ b/crates/relay/src/owners.rs
@@ -8,7 +8,7 @@
 //! by what it knows.
 
 use {
-    crate::gossip::{LoadAnswer, QueryNumber},
+    crate::gossip::{LoadAnswer, PermitAnswer, QueryNumber},
     baobab_place::{Load, Part, PartId, ServerKey},
     baobab_unit::HostId,
     std::{
@@ -28,9 +28,19 @@
 struct PendingQuery {
     parts: Vec<Part>,
     missing: Vec<HostId>,
+    permit: Option<PermitAnswer>,
     answered: Rc<Notify>,
 }
 
+/// What has come of a question by the time it is closed.
+#[derive(Debug, Default)]
+pub struct QueryOutcome {
+    /// Routers that have not answered.
+    pub missing: Vec<HostId>,
+    /// Answer on the permit that was asked for.
+    pub permit: Option<PermitAnswer>,
+}
+
 /// Loads on the servers of one owner, and uses of its prompt parts.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct OwnerReport {
@@ -60,18 +70,22 @@
         let query = PendingQuery {
             parts,
             missing: owners,
+            permit: None,
             answered: Rc::clone(&answered),
         };
         self.pending.insert(self.last_number, query);
         (self.last_number, answered)
     }
 
-    /// Closes a question; later answers to it are ignored. Returns the routers that have not
-    /// answered.
-    pub fn close(&mut self, number: QueryNumber) -> Vec<HostId> {
+    /// Closes a question; later answers to it are ignored.
+    pub fn close(&mut self, number: QueryNumber) -> QueryOutcome {
         self.pending
             .remove(&number)
-            .map_or_else(Vec::new, |query| query.missing)
+            .map(|query| QueryOutcome {
+                missing: query.missing,
+                permit: query.permit,
+            })
+            .unwrap_or_default()
     }
 
     /// Records an answer of a router. Returns the shared parts of the question's prompt, or none if the question
@@ -79,6 +93,7 @@
     pub fn on_answer(&mut self, host: HostId, answer: &LoadAnswer) -> Option<Vec<Part>> {
         let query = self.pending.get_mut(&answer.number)?;
         query.missing.retain(|missing| *missing != host);
+        query.permit = query.permit.or(answer.permit);
         if query.missing.is_empty() {
             query.answered.notify_one();
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,7 +9,7 @@
         gossip::GossipSocket,
         header_codec::HeaderCodec,
         identity::Identity,
-        loads, operators,
+        limits, loads, operators,
         settings::Settings,
         shared::Shared,
         ticker,
@@ -213,6 +213,9 @@
     let mut placer = core.placer.borrow_mut();
     if placer.registry.announce(server) {
         placer.on_server_restarted(key);
+        if let Some(change) = placer.limits.on_restart(key) {
+            limits::log_change(&change, "restart");
+        }
         core.pool.close_idle(key);
     }
     drop(placer);
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -4,7 +4,7 @@
     crate::{
         core::Core,
         gossip::{GossipConfirmation, GossipMessage, PartUpdate, TableUpdate},
-        loads,
+        limits, loads,
         pace::{Pace, RATES_INTERVAL, SHARES_INTERVAL},
     },
     baobab_place::{CACHE_LIFETIME, PeerReport, ReportedParts},
@@ -82,6 +82,7 @@
         }
         send_evidence(&core, now);
         let is_full = full_report.is_due(now);
+        limits::report(&core, asks_owners, is_full);
         let mut message = GossipMessage::default();
         if asks_owners {
             if is_full {
@@ -159,6 +160,8 @@
         let quarantined = i64::try_from(evidence.quarantined()).unwrap_or(i64::MAX);
         core.metrics.quarantined_parts.set(quarantined);
     }
+    let limited = i64::try_from(core.placer.borrow().limits.limited()).unwrap_or(i64::MAX);
+    core.metrics.limited_servers.set(limited);
     core.pool.expire();
     update_preceding_routers(core, now);
 }
@@ -303,6 +306,8 @@
                 for table in message.tables {
                     core.shared.tables.deliver(table, now);
                 }
+                drop(placer);
+                limits::on_notices(&core, host, &message.limits);
                 if let Some(confirmation) = message.confirmation {
                     apply_confirmation(&core, confirmation);
                 }
@@ -310,7 +315,6 @@
                     .datagrams
                     .with_label_values(&["received"])
                     .inc();
-                drop(placer);
                 if let Some(query) = message.query {
                     loads::on_query(&core, host, &query);
                 }
--- a/crates/relay/tests/owners.rs
+++ b/crates/relay/tests/owners.rs
@@ -2,7 +2,7 @@
 
 use {
     baobab_place::{Load, Part},
-    baobab_relay::{LoadAnswer, Owners, group_by_owner},
+    baobab_relay::{LoadAnswer, Owners, PermitAnswer, group_by_owner},
     std::time::Duration,
     tokio::time::timeout,
 };
@@ -16,6 +16,8 @@
         number,
         servers: Vec::new(),
         holders: Vec::new(),
+        permit: None,
+        limits: Vec::new(),
     }
 }
 
@@ -36,10 +38,26 @@
         let waiting = timeout(Duration::from_millis(30), answered.notified()).await;
         assert_eq!(waiting.is_ok(), is_answered, "{answers} of {owners}");
         let missing: Vec<u32> = (answers..owners).collect();
-        assert_eq!(questions.close(number), missing);
+        assert_eq!(questions.close(number).missing, missing);
     }
 }
 
+#[test]
+fn a_permit_counts_only_if_its_answer_is_in_time() {
+    let granted = || LoadAnswer {
+        permit: Some(PermitAnswer::Granted),
+        ..answer(1)
+    };
+    let mut questions = Owners::default();
+    let (number, _) = questions.open(Vec::new(), vec![4]);
+    questions.on_answer(4, &granted());
+    assert_eq!(questions.close(number).permit, Some(PermitAnswer::Granted));
+    let (number, _) = questions.open(Vec::new(), vec![4]);
+    assert_eq!(questions.close(number).permit, None);
+    questions.on_answer(4, &granted());
+    assert_eq!(questions.close(number).permit, None, "late");
+}
+
 #[test]
 fn late_and_unasked_answers_are_ignored() {
     let mut questions = Owners::default();
