Quarantine requests that crash each server that runs them

Cause: the quarantine took a crash as evidence only once the head of an answer had arrived, and only against shared parts of a prompt; requests to plain servers have neither.

Change: what a request asks, and for whom, gets a content key that counts as a part which only this request has. A connection that the server closes before the head is evidence against it; a complete answer clears it. Crashes of the same request at several servers count each. Evidence, exchange, hold, probes and bounds are those of the prompt parts.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,7 +1,7 @@
 //! An HTTP/1.1 connection, which carries one request at a time.
 
 use {
-    crate::{SendError, configure_socket},
+    crate::{SendError, configure_socket, is_closed_by_server},
     bytes::Bytes,
     http::{Request, Response},
     http_body_util::Full,
@@ -83,9 +83,12 @@
         self.used_at = Instant::now();
         result.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
-            let reason = error.into_error().to_string();
+            let error = error.into_error();
+            let reason = error.to_string();
             if is_unsent {
                 SendError::NotSent(reason)
+            } else if is_closed_by_server(&error) {
+                SendError::Closed(reason)
             } else {
                 SendError::Lost(reason)
             }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -6,6 +6,6 @@
 
 pub use {
     connection::{Connection, Options},
-    error::SendError,
+    error::{SendError, is_closed_by_server},
     sockets::configure_socket,
 };
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -13,8 +13,8 @@
 /// have in common can't be told from a truncated list.
 pub const MAX_PARTS: usize = 32;
 
-/// A request whose answer broke soon after it began: one of the candidates for the cause of a
-/// crash.
+/// A request that broke before its answer or soon after that began: one of the candidates for the cause
+/// of a crash.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
     /// The server that crashed.
@@ -25,4 +25,7 @@
     pub workspace: WorkspaceId,
     /// Parts of the prompt that other requests may share.
     pub parts: Vec<PartId>,
+    /// Key of what the request asks, if it may come again; counts as a part that only such requests
+    /// share.
+    pub content: Option<PartId>,
 }
--- a/crates/quarantine/src/decision.rs
+++ b/crates/quarantine/src/decision.rs
@@ -35,6 +35,8 @@
     pub workspaces: BTreeSet<WorkspaceId>,
     /// Parts that all these requests hold.
     pub common: BTreeSet<PartId>,
+    /// Whether they are the same request, sent again.
+    pub is_one_content: bool,
 }
 
 impl Findings {
@@ -43,8 +45,11 @@
     pub fn is_conviction(&self) -> bool {
         let has_share = self.crashes * 100 >= self.all_crashes * MIN_SHARE_PERCENT;
         let suffices = self.crashes >= SUFFICIENT_CRASHES && self.servers >= SUFFICIENT_SERVERS;
+        // A service may have a single server, which the same request crashes each time it is back.
+        let has_servers =
+            self.servers >= MIN_SERVERS || (self.is_one_content && self.requests >= MIN_CRASHES);
         self.crashes >= MIN_CRASHES
-            && self.servers >= MIN_SERVERS
+            && has_servers
             && self.requests >= MIN_REQUESTS
             && (has_share || suffices)
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,4 +1,4 @@
-//! Quarantine of prompt parts that crash every engine that begins to write an answer on them.
+//! Quarantine of prompt parts and requests that crash every server that begins to answer them.
 //!
 //! Performs no I/O; callers pass the current time to every call. Evidence may arrive late, twice
 //! and in any order.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -42,8 +42,8 @@
     }
 
     /// Records a request whose answer broke soon after it began, here or at another router. `at` is
-    /// the time of the crash. Requests without shared parts count as well: they show that crashes
-    /// have other causes.
+    /// the time of the crash. Requests without parts count as well: they show that crashes have other
+    /// causes.
     pub fn on_crash(&mut self, crash: &Crash, at: Duration, now: Duration) -> Vec<Decision> {
         let now = now + CLOCK_START;
         let at = (at + CLOCK_START).min(now);
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -25,17 +25,19 @@
     request: RequestKey,
     workspace: WorkspaceId,
     parts: Arc<[PartId]>,
+    content: Option<PartId>,
 }
 
 impl Candidate {
     pub(crate) fn new(crash: &Crash, at: Duration) -> Self {
-        let parts: BTreeSet<PartId> = crash.parts.iter().copied().collect();
+        let parts: BTreeSet<PartId> = crash.parts.iter().chain(&crash.content).copied().collect();
         Self {
             span: Span::at(at),
             server: crash.server,
             request: crash.request,
             workspace: crash.workspace,
             parts: parts.into_iter().collect(),
+            content: crash.content,
         }
     }
 
@@ -113,16 +115,31 @@
         let servers: BTreeSet<ServerKey> = crashes.iter().map(|crash| crash.server).collect();
         let requests: BTreeSet<RequestKey> =
             self.0.iter().map(|candidate| candidate.request).collect();
+        // Different requests with a part break together if several servers lose power at once. The same
+        // request is rarely at several servers then.
+        let is_one_content = self.has_one_content();
+        let crash_count = if is_one_content {
+            crashes.len()
+        } else {
+            count_spaced(crashes.iter().map(|crash| crash.span.first))
+        };
         Findings {
-            crashes: count_spaced(crashes.iter().map(|crash| crash.span.first)),
+            crashes: crash_count,
             all_crashes: log.count_since(first),
             servers: servers.len(),
             requests: requests.len(),
             workspaces: bounded(self.0.iter().map(|candidate| candidate.workspace)),
             common: self.common(),
+            is_one_content,
         }
     }
 
+    /// Returns whether all candidates are the same request, sent again.
+    fn has_one_content(&self) -> bool {
+        let first = self.0.first().and_then(|candidate| candidate.content);
+        first.is_some() && self.0.iter().all(|candidate| candidate.content == first)
+    }
+
     /// Returns the parts that all candidates hold.
     fn common(&self) -> BTreeSet<PartId> {
         let Some((first, others)) = self.0.split_first() else {
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         core::{Core, Phase},
-        forward::{Caller, Job, Problem, Reason, RefusalCause, remove_hop_headers, retry_after},
+        forward::{
+            Caller, Job, Problem, Reason, RefusalCause, key_of, remove_hop_headers, retry_after,
+        },
         header_codec::RequestHeaders,
     },
     baobab_place::AdmissionClass,
@@ -63,6 +65,7 @@
     let job = Job {
         key: request_key(&request_headers.id),
         id: request_headers.id,
+        content_key: Cell::default(),
         method: head.method,
         uri: head.uri,
         headers,
@@ -89,12 +92,7 @@
 
 /// Returns the key of a request id: the first eight bytes of its BLAKE3 digest.
 fn request_key(id: &str) -> RequestKey {
-    let digest = blake3::hash(id.as_bytes());
-    digest
-        .as_bytes()
-        .iter()
-        .take(size_of::<RequestKey>())
-        .fold(0, |key, byte| key << 8 | RequestKey::from(*byte))
+    key_of(&blake3::hash(id.as_bytes()))
 }
 
 fn match_route<'a>(
--- a/crates/relay/src/callers/service.rs
+++ b/crates/relay/src/callers/service.rs
@@ -83,6 +83,7 @@
         Ok(Err(problem)) => return Err(problem),
         Err(_) => return Err(Problem::new(Reason::BodyTooSlow)),
     }
+    job.set_content_key();
     check_quarantine(core, &job)?;
     core.count_request(&job.service);
     // A late request was counted at its first attempt.
--- a/crates/relay/src/evidence/beginning.rs
+++ b/crates/relay/src/evidence/beginning.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{core::Core, forward::Job},
-    baobab_place::ServerKey,
+    baobab_place::{PartId, ServerKey},
     baobab_quarantine::Crash,
     std::time::Duration,
     tokio::time::Instant,
@@ -12,27 +12,29 @@
 /// engine that a prompt part crashes ends within a few steps.
 const BEGINNING_PERIOD: Duration = Duration::from_millis(500);
 
-/// Watches the beginning of one answer of an engine.
+/// Watches the beginning of one answer.
 #[derive(Debug)]
 pub struct AnswerBeginning {
     crash: Crash,
+    suspect_parts: Vec<PartId>,
     first_data_at: Option<Instant>,
 }
 
 impl AnswerBeginning {
-    /// Watches an answer to a request; none if its prompt has no shared parts.
+    /// Watches an answer to a request.
     #[must_use]
-    pub fn of(job: &Job, server: ServerKey) -> Option<Self> {
-        let parts = job.shared_parts();
-        (!parts.is_empty()).then(|| Self {
+    pub fn of(job: &Job, server: ServerKey) -> Self {
+        Self {
             crash: Crash {
                 server,
                 request: job.key,
                 workspace: job.workspace(),
-                parts,
+                parts: job.shared_parts(),
+                content: Some(job.content_key.get()),
             },
+            suspect_parts: job.suspect_parts(),
             first_data_at: None,
-        })
+        }
     }
 
     /// Records data of the answer. Returns whether the answer has gone on beyond its beginning, and
@@ -42,7 +44,7 @@
         let is_over = first_data_at.elapsed() >= BEGINNING_PERIOD;
         if is_over {
             core.evidence.borrow_mut().on_withstood(
-                &self.crash.parts,
+                &self.suspect_parts,
                 core.random_fraction(),
                 core.now(),
             );
@@ -53,7 +55,7 @@
     /// Records that the answer is complete.
     pub fn on_complete(self, core: &Core) {
         core.evidence.borrow_mut().on_withstood(
-            &self.crash.parts,
+            &self.suspect_parts,
             core.random_fraction(),
             core.now(),
         );
--- a/crates/relay/src/evidence/decisions.rs
+++ b/crates/relay/src/evidence/decisions.rs
@@ -12,7 +12,7 @@
             log_findings(
                 *part,
                 findings,
-                "prompt part is suspected of crashing engines",
+                "prompt part or request is suspected of crashing servers",
             );
         }
         Decision::Quarantined {
@@ -21,8 +21,8 @@
             hold,
             level,
         } => {
-            log_findings(*part, findings, "prompt part crashes engines");
-            log::warn!(part, hold_ms = millis(*hold), level; "prompt part is quarantined");
+            log_findings(*part, findings, "prompt part or request crashes servers");
+            log::warn!(part, hold_ms = millis(*hold), level; "prompt part or request is quarantined");
         }
         Decision::Widened {
             part,
@@ -43,7 +43,7 @@
             workspaces:?,
             hold_ms = millis(*hold),
             level;
-            "prompt part is quarantined by another router"
+            "quarantined by another router"
         ),
         Decision::ProbationBegan { part } => {
             log::info!(part; "quarantine is on probation");
@@ -53,10 +53,10 @@
             at,
             is_lifted,
         } => {
-            log::info!(part, at_ms = millis(*at), is_lifted; "prompt part is sound");
+            log::info!(part, at_ms = millis(*at), is_lifted; "prompt part or request is sound");
         }
         Decision::StillCleared { part, at } => {
-            log::info!(part, at_ms = millis(*at); "another router quarantines a sound prompt part");
+            log::info!(part, at_ms = millis(*at); "another router quarantines what is sound");
         }
         Decision::Forgotten { part } => log::info!(part; "quarantine has ended"),
         Decision::Displaced { part } => {
@@ -73,7 +73,8 @@
         servers = findings.servers,
         requests = findings.requests,
         workspaces:? = findings.workspaces,
-        common:? = findings.common;
+        common:? = findings.common,
+        is_one_content = findings.is_one_content;
         "{message}"
     );
 }
--- a/crates/relay/src/evidence/mod.rs
+++ b/crates/relay/src/evidence/mod.rs
@@ -1,13 +1,13 @@
-//! Evidence against prompt parts that crash engines: what this router sees, and what it exchanges
-//! with the others.
+//! Evidence against prompt parts and requests that crash servers: what this router sees, and what it
+//! exchanges with the others.
 
 mod beginning;
 mod decisions;
 mod outbox;
 
 use {
-    crate::gossip::EvidenceMessage,
-    baobab_place::PartId,
+    crate::{core::Core, forward::Job, gossip::EvidenceMessage},
+    baobab_place::{PartId, ServerKey},
     baobab_quarantine::{Crash, Decision, Quarantine, Verdict},
     baobab_unit::WorkspaceId,
     std::time::Duration,
@@ -21,6 +21,19 @@
 /// Routers of a fleet that tell them in each interval; in larger fleets each does so less often.
 const RECORD_SENDERS: u32 = 6;
 
+/// Records that a server closed the connection before it began to answer a request. Until then, nothing
+/// but the request itself is suspected: all requests that wait at an engine break with it.
+pub fn on_closed(core: &Core, job: &Job, server: ServerKey) {
+    let crash = Crash {
+        server,
+        request: job.key,
+        workspace: job.workspace(),
+        parts: Vec::new(),
+        content: Some(job.content_key.get()),
+    };
+    core.evidence.borrow_mut().on_crash(crash, core.now());
+}
+
 /// The quarantine of this router, and its reports to the others.
 #[derive(Debug, Default)]
 pub struct Evidence {
@@ -30,14 +43,15 @@
 }
 
 impl Evidence {
-    /// Records that a server closed the connection as it began an answer.
+    /// Records that a server closed the connection before it answered, or as it began to.
     pub fn on_crash(&mut self, crash: Crash, now: Duration) {
         log::info!(
             server = crash.server,
             request = crash.request,
             workspace = crash.workspace,
-            parts:? = crash.parts;
-            "answer broke off as it began"
+            parts:? = crash.parts,
+            content:? = crash.content;
+            "server closed the connection of a request"
         );
         let decisions = self.quarantine.on_crash(&crash, now, now);
         self.outbox.put_crash(crash, now);
--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -113,12 +113,9 @@
     }
 }
 
-/// Refuses a request whose prompt has a part that crashes engines.
+/// Refuses a request that crashes servers, or whose prompt has a part that crashes engines.
 pub fn check_quarantine(core: &Core, job: &Job) -> Result<(), Problem> {
-    let parts = job.shared_parts();
-    if parts.is_empty() {
-        return Ok(());
-    }
+    let parts = job.suspect_parts();
     let now = core.now();
     let is_owner = |part| {
         core.peer_directory
@@ -133,7 +130,7 @@
     match verdict {
         Verdict::Pass => Ok(()),
         Verdict::Probe(part) => {
-            log::info!(id = job.id.as_str(), part; "request probes a quarantined prompt part");
+            log::info!(id = job.id.as_str(), part; "request probes what is quarantined");
             Ok(())
         }
         Verdict::Held { part, remaining } => {
@@ -142,9 +139,14 @@
                 workspace = job.workspace_name(),
                 part,
                 remaining_ms = millis(remaining);
-                "request has a quarantined prompt part"
+                "request is quarantined"
             );
-            Err(Problem::with_retry_after(Reason::Quarantined, remaining))
+            let reason = if part == job.content_key.get() {
+                Reason::RequestQuarantined
+            } else {
+                Reason::Quarantined
+            };
+            Err(Problem::with_retry_after(reason, remaining))
         }
     }
 }
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         core::Core,
-        evidence::AnswerBeginning,
+        evidence::{self, AnswerBeginning},
         header_codec::{ForwardHeaders, LimitNotice, ResponseOrigin},
         limits,
         pool::{ConnectionReuse, OpenError},
@@ -57,6 +57,10 @@
         WrongServer {
             display("another server has the address")
         }
+        /// The server closed the connection before the head of a response; the request may have run.
+        Closed(reason: String) {
+            display("the request may have run: {reason}")
+        }
         /// The request may have run.
         Lost(reason: String) {
             display("the request may have run: {reason}")
@@ -68,7 +72,7 @@
     /// Whether the server may have run the request.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Lost(_))
+        matches!(self, Self::Closed(_) | Self::Lost(_))
     }
 }
 
@@ -90,6 +94,9 @@
     match send(core, job, &load_guard, fetch_from, resume_after).await {
         Ok((active, head, body)) => check_response(core, job, load_guard, active, head, body),
         Err(error) => {
+            if matches!(error, AttemptError::Closed(_)) {
+                evidence::on_closed(core, job, load_guard.server.key);
+            }
             let outcome = match error {
                 AttemptError::NotSent(_) => ServerOutcome::Unreachable,
                 AttemptError::NoConnection(_) | AttemptError::Unavailable => ServerOutcome::Full,
@@ -136,6 +143,7 @@
             // An idle connection that the server has closed; nothing was sent on it.
             Err(SendError::NotSent(_)) if was_idle => {}
             Err(SendError::NotSent(reason)) => return Err(AttemptError::NotSent(reason)),
+            Err(SendError::Closed(reason)) => return Err(AttemptError::Closed(reason)),
             Err(SendError::Lost(reason)) => return Err(AttemptError::Lost(reason)),
         }
     }
@@ -215,8 +223,7 @@
             let beginning = head
                 .status
                 .is_success()
-                .then(|| AnswerBeginning::of(job, load_guard.server.key))
-                .flatten();
+                .then(|| AnswerBeginning::of(job, load_guard.server.key));
             let exchange = Exchange::new(core, connection, body, load_guard, keep_alive, beginning);
             return Ok(ServerResponse { head, exchange });
         }
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -303,7 +303,9 @@
             (Reason::ServersRefused, true)
         }
         AttemptError::NotRun => (Reason::ServersRefused, true),
-        AttemptError::Lost(_) => (Reason::ServerFailed, job.route.retry_safety.is_retryable()),
+        AttemptError::Closed(_) | AttemptError::Lost(_) => {
+            (Reason::ServerFailed, job.route.retry_safety.is_retryable())
+        }
     };
     let has_another = attempts.sent() < job.route.max_attempts;
     if may_retry && has_another && waiting.is_empty() && core.try_retry(&job.service, reason.code())
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -3,13 +3,11 @@
 use {
     super::load_guard::LoadGuard,
     crate::{core::Core, evidence::AnswerBeginning},
-    baobab_client::Connection,
+    baobab_client::{Connection, is_closed_by_server},
     baobab_place::ServerOutcome,
     bytes::Bytes,
     hyper::body::{Body, Incoming},
     std::{
-        error::Error,
-        io,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
@@ -140,18 +138,6 @@
     }
 }
 
-/// Whether the server closed the connection, rather than this router after a timeout.
-fn is_closed_by_server(error: &hyper::Error) -> bool {
-    let mut source = error.source();
-    while let Some(error) = source {
-        if let Some(error) = error.downcast_ref::<io::Error>() {
-            return error.kind() != io::ErrorKind::TimedOut;
-        }
-        source = error.source();
-    }
-    error.is_incomplete_message()
-}
-
 impl Drop for Exchange {
     fn drop(&mut self) {
         if let Some(load_guard) = self.load_guard.take() {
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -6,7 +6,7 @@
     baobab_routing::{EngineCapabilities, Route},
     baobab_unit::WorkspaceId,
     bytes::Bytes,
-    http::{HeaderMap, Method, Uri},
+    http::{HeaderMap, Method, Uri, header::HOST},
     std::{
         cell::{Cell, RefCell},
         time::Duration,
@@ -14,6 +14,15 @@
     tokio::time::Instant,
 };
 
+/// Returns the first eight bytes of a digest.
+pub fn key_of(digest: &blake3::Hash) -> u64 {
+    digest
+        .as_bytes()
+        .iter()
+        .take(size_of::<u64>())
+        .fold(0, |key, byte| key << 8 | u64::from(*byte))
+}
+
 /// The workspace of a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Caller {
@@ -30,6 +39,8 @@
     pub id: String,
     /// Key derived from the id, by which routers report the request.
     pub key: RequestKey,
+    /// Key of what the request asks, and for whom: the same each time its caller sends it.
+    pub content_key: Cell<PartId>,
     /// Forwarded unchanged.
     pub method: Method,
     /// Path and query, forwarded unchanged.
@@ -107,6 +118,39 @@
         shared.iter().map(|part| part.id).collect()
     }
 
+    /// Derives the content key, once the body is read.
+    pub fn set_content_key(&self) {
+        let mut hasher = blake3::Hasher::new();
+        let host = self
+            .headers
+            .get(HOST)
+            .map_or(&[][..], |host| host.as_bytes());
+        let workspace = self.workspace().to_be_bytes();
+        let uri = self.uri.to_string();
+        let body = self.body.borrow();
+        let fields = [
+            host,
+            &workspace,
+            self.method.as_str().as_bytes(),
+            uri.as_bytes(),
+            &body,
+        ];
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_be_bytes());
+            hasher.update(field);
+        }
+        self.content_key.set(key_of(&hasher.finalize()));
+    }
+
+    /// Returns what may be the cause if a server crashes that answers the request: the parts of its
+    /// prompt that other requests may share, and the request itself.
+    #[must_use]
+    pub fn suspect_parts(&self) -> Vec<PartId> {
+        let mut parts = self.shared_parts();
+        parts.push(self.content_key.get());
+        parts
+    }
+
     /// Returns the tokens that the request claims from its workspace's share.
     #[must_use]
     pub fn claim_tokens(&self) -> u64 {
--- a/crates/relay/src/forward/problem.rs
+++ b/crates/relay/src/forward/problem.rs
@@ -37,6 +37,8 @@
     OverShare,
     /// The prompt has a part that crashes engines.
     Quarantined,
+    /// Servers that run the request crash.
+    RequestQuarantined,
     /// Servers refused to run the request.
     ServersRefused,
     /// No server could be reached.
@@ -70,6 +72,7 @@
             Self::Busy => "busy",
             Self::OverShare => "over_share",
             Self::Quarantined => "prompt_quarantined",
+            Self::RequestQuarantined => "request_quarantined",
             Self::ServersRefused => "servers_refused",
             Self::Unreachable => "servers_unreachable",
             Self::TimeoutUnsent => "timeout_unsent",
@@ -101,6 +104,7 @@
             | Self::Limited
             | Self::Busy
             | Self::Quarantined
+            | Self::RequestQuarantined
             | Self::ServersRefused
             | Self::Unreachable
             | Self::TimeoutUnsent => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/relay/src/gossip/evidence_message.rs
+++ b/crates/relay/src/gossip/evidence_message.rs
@@ -59,6 +59,7 @@
     request: u64,
     workspace: WorkspaceId,
     parts: Vec<u64>,
+    content: Option<u64>,
     age_ms: u64,
 }
 
@@ -106,6 +107,7 @@
             request: report.crash.request,
             workspace: report.crash.workspace,
             parts: report.crash.parts.clone(),
+            content: report.crash.content,
             age_ms: millis(report.age),
         }
     }
@@ -119,6 +121,7 @@
                 request: wire.request,
                 workspace: wire.workspace,
                 parts: wire.parts,
+                content: wire.content,
             },
             age: Duration::from_millis(wire.age_ms),
         }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -80,7 +80,7 @@
         let in_flight = gauge("baobab_requests_under_way", "Requests that are under way.");
         let quarantined_parts = gauge(
             "baobab_quarantined_parts",
-            "Prompt parts that crash engines and are refused.",
+            "Prompt parts and requests that crash servers and are refused.",
         );
         let limited_servers = gauge(
             "baobab_limited_servers",
--- a/crates/relay/tests/evidence_outbox.rs
+++ b/crates/relay/tests/evidence_outbox.rs
@@ -15,6 +15,7 @@
 
 fn crash(request: u64, parts: u64) -> Crash {
     Crash {
+        content: Some(request),
         server: u32::MAX,
         request,
         workspace: u32::MAX,
