--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -86,7 +86,8 @@
                     continue;
                 }
                 let retry_at = Instant::now() + wait;
-                if retry_at >= wait_until {
+                // No wait: the servers with a limit were left out.
+                if wait.is_zero() || retry_at >= wait_until {
                     return Err(limited(core, job, admission_class, wait));
                 }
                 sleep_until(retry_at).await;
