Tell the other routers of a quarantine at once

Traced with 14 busy loops beside the test (2 of 3 runs failed): the third router had started 26 ms before the first three crashes, all by one request and its retries, and had none of that evidence; the fourth crash convicted the request at the other two, and the third router's own request came 0.3 s later. Quarantined parts were told once a second, so it learned too late and crashed three more servers.

Change: the router whose own observation makes the conviction tells it with its next message. A test with a router that starts later passed without the change too and is not kept.

--- a/crates/relay/src/evidence/mod.rs
+++ b/crates/relay/src/evidence/mod.rs
@@ -55,6 +55,13 @@
         );
         let decisions = self.quarantine.on_crash(&crash, now, now);
         self.outbox.put_crash(crash, now);
+        if decisions
+            .iter()
+            .any(|decision| matches!(decision, Decision::Quarantined { .. }))
+        {
+            // Routers that lack the earlier evidence learn of the quarantine at once.
+            self.records_due_at = now;
+        }
         self.apply(&decisions, 0.0, now);
     }
 
