Review case 2: a late write of an earlier run cuts a router off from its peers

The store does the first registration of a router late, after the router was restarted. The others take the row of the earlier run and drop the datagrams of the present one.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod idle;
 mod json;
+mod late_write;
 mod record;
 mod site;
 mod store;
@@ -35,6 +36,7 @@
     record.say(format!("case {case}, with trouble: {has_trouble}"));
     let result = match case.as_str() {
         "idle" => idle::run(&record, &path, has_trouble),
+        "late-write" => late_write::run(&record, &path, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match &result {
