--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod late_write;
 mod record;
+mod restored;
 mod site;
 mod store;
 mod streams;
@@ -35,6 +36,7 @@
     let record = Record::new();
     record.say(format!("case {case}, with trouble: {has_trouble}"));
     let result = match case.as_str() {
+        "restored" => restored::run(&record, &path, has_trouble),
         "idle" => idle::run(&record, &path, has_trouble),
         "late-write" => late_write::run(&record, &path, has_trouble),
         _ => Err(format!("no case {case}")),
