Review case 4: two owners of a limit after the store has forgotten its history

A reader's outbox joins batches from before a listing with the listing's revision, so that routers that follow gossip miss the changes in between.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Plays the scripts of the review: the router's own program between small stand-ins.
 
 mod engine;
+mod forgotten;
 mod gateway;
 mod http;
 mod idle;
@@ -36,6 +37,7 @@
     let record = Record::new();
     record.say(format!("case {case}, with trouble: {has_trouble}"));
     let result = match case.as_str() {
+        "forgotten" => forgotten::run(&record, &path, has_trouble),
         "restored" => restored::run(&record, &path, has_trouble),
         "idle" => idle::run(&record, &path, has_trouble),
         "late-write" => late_write::run(&record, &path, has_trouble),
