--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod site;
 mod store;
 mod streams;
+mod upgrade;
 
 use record::Record;
 use std::{env, fs, process::ExitCode, thread, time::Duration};
@@ -41,6 +42,7 @@
         "restored" => restored::run(&record, &path, has_trouble),
         "idle" => idle::run(&record, &path, has_trouble),
         "late-write" => late_write::run(&record, &path, has_trouble),
+        "upgrade" => upgrade::run(&record, &path, has_trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match &result {
