--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -89,6 +89,14 @@
         self.state.lock().expect("no panic while locked")
     }
 
+    /// Returns the header that states the idle timeout in whole seconds, if there are any.
+    fn keep_alive(&self) -> String {
+        match self.idle_timeout.as_secs() {
+            0 => String::new(),
+            seconds => format!("Keep-Alive: timeout={seconds}\r\n"),
+        }
+    }
+
     pub fn id(&self) -> String {
         self.lock().id.clone()
     }
@@ -187,6 +195,7 @@
 
 /// Writes an answer with a length.
 pub fn answer(
+    engine: &Engine,
     stream: &mut TcpStream,
     request: &Request,
     status: u16,
@@ -195,18 +204,20 @@
 ) -> io::Result<()> {
     let id = request.header("Attempt-Id").unwrap_or("-");
     let text = format!(
-        "HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        "HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\n{headers}{}Content-Length: {}\r\n\r\n{body}",
+        engine.keep_alive(),
         body.len()
     );
     stream.write_all(text.as_bytes())
 }
 
 /// Writes the head of a stream.
-pub fn begin_stream(stream: &mut TcpStream, request: &Request) -> io::Result<()> {
+pub fn begin_stream(engine: &Engine, stream: &mut TcpStream, request: &Request) -> io::Result<()> {
     let id = request.header("Attempt-Id").unwrap_or("-");
     let text = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: seal-{id}\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: seal-{id}\r\n{}\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        engine.keep_alive()
     );
     stream.write_all(text.as_bytes())
 }
--- a/review/standin/forgotten.rs
+++ b/review/standin/forgotten.rs
@@ -33,7 +33,7 @@
     store.put("op", "config", &config(1, &["key-north"], false));
     let is_in_need = Arc::new(AtomicBool::new(false));
     let need = Arc::clone(&is_in_need);
-    let handler: Handler = Arc::new(move |_, request, stream| {
+    let handler: Handler = Arc::new(move |engine, request, stream| {
         sleep(Duration::from_millis(5));
         let limit = if need.load(Ordering::SeqCst) {
             format!("Server-Limit: {LIMIT_PER_S}\r\n")
@@ -42,7 +42,7 @@
         };
         let headers = format!("Response-Seal: seal\r\nContent-Type: text/event-stream\r\n{limit}");
         let events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
-        answer(stream, request, 200, &headers, events)
+        answer(engine, stream, request, 200, &headers, events)
     });
     let names = env::var("ENGINES").unwrap_or_else(|_| ENGINES.join(","));
     let engines: Vec<Engine> = names
--- a/review/standin/restored.rs
+++ b/review/standin/restored.rs
@@ -26,9 +26,16 @@
     let store = Store::spawn();
     let keys = ["key-north", "key-taken"];
     store.put("op", "config", &config(1, &keys, false));
-    let handler: Handler = Arc::new(|_, request, stream| {
+    let handler: Handler = Arc::new(|engine, request, stream| {
         sleep(Duration::from_millis(10));
-        answer(stream, request, 200, "Response-Seal: seal\r\n", "booked")
+        answer(
+            engine,
+            stream,
+            request,
+            200,
+            "Response-Seal: seal\r\n",
+            "booked",
+        )
     });
     let born = unix_ms();
     let engines: Vec<Engine> = ["i-desk-1", "i-desk-2", "i-desk-3"]
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -41,10 +41,17 @@
     Arc::new(move |engine, request, stream| {
         if request.target.starts_with("/lookup/") {
             sleep(LOOKUP);
-            return answer(stream, request, 200, "Response-Seal: seal\r\n", "ticket");
+            return answer(
+                engine,
+                stream,
+                request,
+                200,
+                "Response-Seal: seal\r\n",
+                "ticket",
+            );
         }
         let version = engine.version();
-        begin_stream(stream, request)?;
+        begin_stream(engine, stream, request)?;
         let after = request
             .header("Last-Event-Id")
             .and_then(|id| id.parse().ok());
