--- a/review/standin/forgotten.rs
+++ b/review/standin/forgotten.rs
@@ -24,6 +24,7 @@
 /// Requests a second that each server takes, once it is in need.
 const LIMIT_PER_S: f64 = 20.0;
 const CONTACT: Duration = Duration::from_secs(3);
+const MAX_START_TIME: Duration = Duration::from_secs(5);
 const WINDOW: Duration = Duration::from_secs(4);
 
 /// Returns whether the rule held.
@@ -65,15 +66,24 @@
         scope.spawn(|| rest[1].stop());
     });
     record.say("edge-1 and edge-3 have stopped");
+    let row_of = |name: &str| store.read("routers", name);
+    let wait_for_row = |name: &str, before: Option<String>| {
+        let deadline = Instant::now() + MAX_START_TIME;
+        while row_of(name) == before && Instant::now() < deadline {
+            sleep(Duration::from_millis(5));
+        }
+    };
+    let (row_1, row_3) = (row_of("edge-1"), row_of("edge-3"));
     routers[2].start_again();
     record.say("edge-3 is started again");
-    sleep(Duration::from_millis(500));
+    wait_for_row("edge-3", row_3);
+    sleep(Duration::from_millis(400));
     routers[0].start_again();
     record.say("edge-1 is started again");
-    sleep(Duration::from_millis(250));
+    wait_for_row("edge-1", row_1);
     if has_trouble {
         store.forget_history();
-        record.say("the store forgets its history");
+        record.say("edge-1 has written its row; the store forgets its history");
     }
     for router in &routers {
         router.wait_until_ready()?;
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -48,13 +48,16 @@
 /// Processes that were started and have not been waited for.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+fn send_signal(signal: &str, id: u32) {
+    let _ = Command::new("sh")
+        .args(["-c", &format!("kill -{signal} {id}")])
+        .status();
+}
+
 /// Kills all routers, when a case takes too long.
 pub fn kill_all() {
     for id in STARTED.lock().expect("no panic while locked").iter() {
-        let _ = Command::new("kill")
-            .arg("-KILL")
-            .arg(id.to_string())
-            .status();
+        send_signal("KILL", *id);
     }
 }
 
@@ -137,10 +140,7 @@
     pub fn stop(&mut self) {
         if let Some(mut child) = self.child.take() {
             let id = child.id();
-            let _ = Command::new("kill")
-                .arg("-TERM")
-                .arg(id.to_string())
-                .status();
+            send_signal("TERM", id);
             let _ = child.wait();
             let mut started = STARTED.lock().expect("no panic while locked");
             started.retain(|started| *started != id);
--- a/review/standin/late_write.rs
+++ b/review/standin/late_write.rs
@@ -58,7 +58,7 @@
     let mut first = start(1);
     let started_at = Instant::now();
     record.say("edge-1 is started");
-    sleep(Duration::from_millis(800));
+    sleep(Duration::from_millis(500));
     record.say("edge-1 is told to stop, as planned");
     first.stop();
     record.say("edge-1 has stopped");
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -15,7 +15,13 @@
 mod upgrade;
 
 use record::Record;
-use std::{env, fs, process::ExitCode, thread, time::Duration};
+use std::{
+    env, fs,
+    panic::{self, AssertUnwindSafe},
+    process::ExitCode,
+    thread,
+    time::Duration,
+};
 
 /// A case may take at most 120 seconds.
 const LIMIT: Duration = Duration::from_secs(115);
@@ -37,7 +43,7 @@
     let path = directory.to_string_lossy().into_owned();
     let record = Record::new();
     record.say(format!("case {case}, with trouble: {has_trouble}"));
-    let result = match case.as_str() {
+    let play = || match case.as_str() {
         "forgotten" => forgotten::run(&record, &path, has_trouble),
         "restored" => restored::run(&record, &path, has_trouble),
         "idle" => idle::run(&record, &path, has_trouble),
@@ -45,6 +51,8 @@
         "upgrade" => upgrade::run(&record, &path, has_trouble),
         _ => Err(format!("no case {case}")),
     };
+    let result = panic::catch_unwind(AssertUnwindSafe(play))
+        .unwrap_or_else(|_| Err("a step has failed".to_owned()));
     let code = match &result {
         Ok(true) => {
             record.say("the rule held");
