Do not take a server's idle timeout for its end

Cause: a closed idle connection counts for 3 s as a sign that its server has started again, perhaps as another version. A server whose connections rest now and then was never free of that doubt.

Ruled out: missing notes or records; the refusal follows a known version, and the case holds where servers keep idle connections for 30 s.

Change: the idle times after which a server closes connections are observed. A closure at a time seen before is no evidence; one at another time is, as before, since a server that ends closes its connections whatever their idle time. The same holds for a connection that is closed as a request arrives on it. Idle times end with the closure, not with the look at it.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -7,7 +7,7 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
-    std::{net::SocketAddr, time::Duration},
+    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::TcpStream,
         task::AbortHandle,
@@ -34,6 +34,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     used_at: Instant,
+    closed_at: Rc<Cell<Option<Instant>>>,
 }
 
 impl Connection {
@@ -55,14 +56,18 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
+        let closed_at = Rc::new(Cell::new(None));
+        let closed = Rc::clone(&closed_at);
         let driver = tokio::task::spawn_local(async move {
             // The request in flight reports the same error.
             let _ = driver.await;
+            closed.set(Some(Instant::now()));
         });
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
             used_at: Instant::now(),
+            closed_at,
         })
     }
 
@@ -106,10 +111,11 @@
         self.used_at = Instant::now();
     }
 
-    /// Returns the time since the connection was last used.
+    /// Returns the time since the connection was last used, or from then until the server closed it.
     #[must_use]
     pub fn idle_for(&self) -> Duration {
-        self.used_at.elapsed()
+        let until = self.closed_at.get().unwrap_or_else(Instant::now);
+        until.saturating_duration_since(self.used_at)
     }
 }
 
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -24,6 +24,7 @@
     hyper::body::Incoming,
     quick_error::quick_error,
     std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::Instant,
 };
 
 /// The head of a response, and the exchange that reads its body.
@@ -97,9 +98,6 @@
         Err(error) => {
             if matches!(error, AttemptError::Closed(_)) {
                 evidence::on_closed(core, job, load_guard.server.key);
-                core.placer
-                    .borrow_mut()
-                    .on_connection_lost(load_guard.server.key, core.now());
             }
             let outcome = match error {
                 AttemptError::NotSent(_) => ServerOutcome::Unreachable,
@@ -128,6 +126,7 @@
     let mut idle = core.pool.take(server.key, reuse, on_closed);
     loop {
         let was_idle = idle.is_some();
+        let idle_for = idle.as_ref().map(Connection::idle_for);
         let connection = match idle.take() {
             Some(connection) => connection,
             None => open(core, load_guard).await?,
@@ -138,19 +137,33 @@
         }
         let request = build_request(core, job, load_guard, fetch_from, resume_after);
         job.sends.set(job.sends.get() + 1);
+        let sent_at = Instant::now();
         let result = active.send(request).await;
         if matches!(result, Err(SendError::NotSent(_))) {
             job.sends.set(job.sends.get() - 1);
         }
+        let is_explained = || {
+            let idle_for = idle_for.map(|idle_for| idle_for + sent_at.elapsed());
+            idle_for.is_some_and(|idle_for| core.pool.on_closed_in_use(server.key, idle_for))
+        };
         match result {
             Ok(response) => {
                 let (head, body) = response.into_parts();
                 return Ok((active, head, body));
             }
             // An idle connection that the server has closed; nothing was sent on it.
-            Err(SendError::NotSent(_)) if was_idle => on_closed(),
+            Err(SendError::NotSent(_)) if was_idle => {
+                if !is_explained() {
+                    on_closed();
+                }
+            }
             Err(SendError::NotSent(reason)) => return Err(AttemptError::NotSent(reason)),
-            Err(SendError::Closed(reason)) => return Err(AttemptError::Closed(reason)),
+            Err(SendError::Closed(reason)) => {
+                if !is_explained() {
+                    on_closed();
+                }
+                return Err(AttemptError::Closed(reason));
+            }
             Err(SendError::Lost(reason)) => return Err(AttemptError::Lost(reason)),
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod header_codec;
 mod identity;
+mod idle_timeout;
 mod limits;
 mod loads;
 mod metrics;
@@ -39,6 +40,7 @@
         ServerNotices, TakeUp,
     },
     identity::Identity,
+    idle_timeout::ObservedIdleTimeout,
     overload::Overload,
     owners::{OwnerReport, OwnerReports, Owners, group_by_owner},
     relay::{Handle, spawn},
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to backend servers.
 
 use {
+    crate::idle_timeout::ObservedIdleTimeout,
     baobab_client::{Connection, Options, SendError},
     baobab_place::{Server, ServerKey},
     quick_error::quick_error,
@@ -59,6 +60,29 @@
 struct ServerConnections {
     idle: Vec<IdleConnection>,
     open: usize,
+    idle_timeout: ObservedIdleTimeout,
+}
+
+impl ServerConnections {
+    /// Removes closed and expired idle connections. Returns whether the server has closed one for
+    /// another reason than its idle timeout, as a server that ends.
+    fn remove_closed(&mut self) -> bool {
+        let mut has_unexplained = false;
+        let (idle_timeout, before) = (&mut self.idle_timeout, self.idle.len());
+        self.idle.retain(|idle| {
+            let idle_for = idle.connection.idle_for();
+            let is_expired = idle_for > idle.max_idle_time;
+            let is_closed = idle.connection.is_closed();
+            if !is_closed {
+                idle_timeout.on_open(idle_for);
+            } else if !is_expired {
+                has_unexplained |= !idle_timeout.on_closed(idle_for);
+            }
+            !is_closed && !is_expired
+        });
+        self.open -= before - self.idle.len();
+        has_unexplained
+    }
 }
 
 /// Idle connections by server, and the number of open ones.
@@ -68,8 +92,8 @@
 }
 
 impl ConnectionPool {
-    /// Removes and returns an idle connection. Calls `on_closed` if the server has closed one before its
-    /// idle timeout, as a server that ends.
+    /// Removes and returns an idle connection. Calls `on_closed` if the server has closed one for
+    /// another reason than its idle timeout, as a server that ends.
     pub fn take(
         &self,
         server: ServerKey,
@@ -78,28 +102,27 @@
     ) -> Option<Connection> {
         let mut servers = self.servers.borrow_mut();
         let connections = servers.get_mut(&server)?;
+        if connections.remove_closed() {
+            on_closed();
+        }
         let max_idle_time = match connection_reuse {
             ConnectionReuse::AnyIdle => Duration::MAX,
             ConnectionReuse::RecentlyUsed => MAX_RECENT_IDLE_TIME,
             ConnectionReuse::Never => return None,
         };
-        while let Some(idle) = connections.idle.pop() {
-            let idle_for = idle.connection.idle_for();
-            let is_expired = idle_for > idle.max_idle_time;
-            if idle.connection.is_closed() || is_expired {
-                connections.open -= 1;
-                if !is_expired {
-                    on_closed();
-                }
-                continue;
-            }
-            if idle_for > max_idle_time {
-                connections.idle.push(idle);
-                return None;
-            }
-            return Some(idle.connection);
+        let idle = connections.idle.last()?;
+        if idle.connection.idle_for() > max_idle_time {
+            return None;
         }
-        None
+        connections.idle.pop().map(|idle| idle.connection)
+    }
+
+    /// Records that the server closed a connection that was taken after it had been idle for
+    /// `idle_for`, before it began to respond. Returns whether its idle timeout explains that.
+    pub fn on_closed_in_use(&self, server: ServerKey, idle_for: Duration) -> bool {
+        let mut servers = self.servers.borrow_mut();
+        let connections = servers.entry(server).or_default();
+        connections.idle_timeout.on_closed(idle_for)
     }
 
     /// Opens a connection. Closes an idle one first if the limit is reached.
@@ -179,23 +202,27 @@
 
     /// Closes connections that have been idle for too long.
     ///
-    /// Returns the servers that have closed one before its idle timeout.
+    /// Returns the servers that have closed one for another reason than their idle timeout.
     pub fn expire(&self) -> Vec<ServerKey> {
-        let mut closed_by = Vec::new();
         let mut servers = self.servers.borrow_mut();
-        for (server, connections) in servers.iter_mut() {
-            let before = connections.idle.len();
-            connections.idle.retain(|idle| {
-                let is_expired = idle.connection.idle_for() > idle.max_idle_time;
-                if idle.connection.is_closed() && !is_expired {
-                    closed_by.push(*server);
-                }
-                !idle.connection.is_closed() && !is_expired
-            });
-            connections.open -= before - connections.idle.len();
+        servers
+            .iter_mut()
+            .filter_map(|(server, connections)| connections.remove_closed().then_some(*server))
+            .collect()
+    }
+
+    /// Forgets a server's observed idle timeout, because it has started again.
+    pub fn on_server_restarted(&self, server: ServerKey) {
+        if let Some(connections) = self.servers.borrow_mut().get_mut(&server) {
+            connections.idle_timeout = ObservedIdleTimeout::default();
         }
-        servers.retain(|_, connections| connections.open > 0);
-        closed_by
+    }
+
+    /// Forgets servers without connections that are no longer announced.
+    pub fn forget_servers(&self, is_announced: impl Fn(ServerKey) -> bool) {
+        self.servers
+            .borrow_mut()
+            .retain(|server, connections| connections.open > 0 || is_announced(*server));
     }
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -227,6 +227,7 @@
             limits::log_change(&change, "restart");
         }
         core.pool.close_idle(key);
+        core.pool.on_server_restarted(key);
     }
     drop(placer);
     if is_leaving {
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -167,8 +167,13 @@
     }
     let limited = i64::try_from(core.placer.borrow().limits.limited()).unwrap_or(i64::MAX);
     core.metrics.limited_servers.set(limited);
-    for server in core.pool.expire() {
-        core.placer.borrow_mut().on_connection_lost(server, now);
+    {
+        let mut placer = core.placer.borrow_mut();
+        for server in core.pool.expire() {
+            placer.on_connection_lost(server, now);
+        }
+        core.pool
+            .forget_servers(|server| placer.registry.get(server).is_some());
     }
     update_preceding_routers(core, now);
 }
