--- a/crates/relay/src/gossip/mod.rs
+++ b/crates/relay/src/gossip/mod.rs
@@ -17,6 +17,6 @@
         ServerAnswer, StreamQuery,
     },
     peer_directory::{Owned, PeerDirectory},
-    seal::PeerKey,
+    seal::{PeerKey, SealError, Sender, seal},
     socket::GossipSocket,
 };
--- a/crates/relay/src/gossip/peer_directory.rs
+++ b/crates/relay/src/gossip/peer_directory.rs
@@ -28,10 +28,32 @@
 /// Interval of datagrams to a silent router.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A run of a router's process.
 #[derive(Debug)]
-struct PeerEntry {
+struct Run {
     peer: PeerHost,
     window: Window,
+}
+
+impl Run {
+    fn new(peer: PeerHost) -> Self {
+        Self {
+            peer,
+            window: Window::default(),
+        }
+    }
+
+    fn is_of(&self, sender: Sender) -> bool {
+        self.peer.incarnation == sender.incarnation
+    }
+}
+
+#[derive(Debug)]
+struct PeerEntry {
+    run: Run,
+    /// Another run of the host, of which a row was read. Rows can be read in another order than that in
+    /// which the runs began; datagrams show which run is live.
+    other_run: Option<Run>,
     last_received_at: Duration,
     last_sent_at: Duration,
     missed_answers: u32,
@@ -43,6 +65,17 @@
         now.saturating_sub(self.last_received_at) > silent_after
     }
 
+    /// Returns the run that has sent a datagram, which is the live one.
+    fn run_of(&mut self, sender: Sender) -> Option<&mut Run> {
+        if let Some(other_run) = &mut self.other_run
+            && other_run.is_of(sender)
+            && !self.run.is_of(sender)
+        {
+            std::mem::swap(&mut self.run, other_run);
+        }
+        self.run.is_of(sender).then_some(&mut self.run)
+    }
+
     fn is_unresponsive(&self, now: Duration) -> bool {
         self.missed_answers >= MAX_MISSED_ANSWERS
             && now.saturating_sub(self.last_missed_at) <= UNRESPONSIVE_PERIOD
@@ -98,27 +131,41 @@
         }
     }
 
-    /// Adds or updates one router, and resets its replay window unless it is unchanged.
+    /// Adds or updates one router. An earlier run does not replace a later one that sends gossip.
     pub fn insert(&mut self, peer: PeerHost, now: Duration) {
         let host = id_of(&peer.host);
-        let is_known = self
-            .entries
-            .get(&host)
-            .is_some_and(|entry| entry.peer == peer);
-        if host == self.own_host || is_known {
+        if host == self.own_host {
             return;
         }
-        self.entries.insert(
-            host,
-            PeerEntry {
-                peer,
-                window: Window::default(),
+        let silent_after = self.silent_after;
+        let Some(entry) = self.entries.get_mut(&host) else {
+            let entry = PeerEntry {
+                run: Run::new(peer),
+                other_run: None,
                 last_received_at: now,
                 last_sent_at: now,
                 missed_answers: 0,
                 last_missed_at: Duration::ZERO,
-            },
-        );
+            };
+            self.entries.insert(host, entry);
+            return;
+        };
+        if entry.run.peer == peer {
+            return;
+        }
+        let is_earlier = entry.run.peer.incarnation > peer.incarnation;
+        let run = match entry.other_run.take() {
+            Some(run) if run.peer == peer => run,
+            _ => Run::new(peer),
+        };
+        if is_earlier && !entry.is_silent(silent_after, now) {
+            entry.other_run = Some(run);
+            return;
+        }
+        entry.other_run = Some(std::mem::replace(&mut entry.run, run));
+        entry.last_received_at = now;
+        entry.last_sent_at = now;
+        entry.missed_answers = 0;
     }
 
     /// Replaces the list of routers; unchanged ones keep their state.
@@ -131,17 +178,10 @@
         }
     }
 
-    /// Adds the routers of a list that may be outdated. Unlisted routers and later runs that send
-    /// gossip stay.
+    /// Adds the routers of a list that may be outdated. Unlisted routers stay.
     pub fn merge(&mut self, peers: Vec<PeerHost>, now: Duration) {
         for peer in peers {
-            let is_outdated = self.entries.get(&id_of(&peer.host)).is_some_and(|entry| {
-                entry.peer.incarnation > peer.incarnation
-                    && !entry.is_silent(self.silent_after, now)
-            });
-            if !is_outdated {
-                self.insert(peer, now);
-            }
+            self.insert(peer, now);
         }
     }
 
@@ -196,7 +236,7 @@
                 continue;
             }
             entry.last_sent_at = now;
-            destinations.push(entry.peer.address);
+            destinations.push(entry.run.peer.address);
         }
         destinations
     }
@@ -246,7 +286,7 @@
     /// Returns the address of a router.
     #[must_use]
     pub fn address(&self, host: HostId) -> Option<SocketAddr> {
-        self.entries.get(&host).map(|entry| entry.peer.address)
+        self.entries.get(&host).map(|entry| entry.run.peer.address)
     }
 
     /// Verifies and decodes a datagram.
@@ -264,7 +304,8 @@
             .entries
             .get_mut(&sender.host)
             .ok_or(SealError::UnknownSender)?;
-        if !entry.window.accept(sender.number) {
+        let run = entry.run_of(sender).ok_or(SealError::UnknownSender)?;
+        if !run.window.accept(sender.number) {
             return Err(SealError::Replayed);
         }
         entry.last_received_at = now;
@@ -273,9 +314,11 @@
     }
 
     fn peer_key(&self, sender: Sender) -> Option<PeerKey> {
-        self.entries
-            .get(&sender.host)
-            .filter(|entry| entry.peer.incarnation == sender.incarnation)
-            .map(|entry| entry.peer.key)
+        let entry = self.entries.get(&sender.host)?;
+        [Some(&entry.run), entry.other_run.as_ref()]
+            .into_iter()
+            .flatten()
+            .find(|run| run.is_of(sender))
+            .map(|run| run.peer.key)
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,8 +32,9 @@
     error::RelayError,
     evidence::EvidenceOutbox,
     gossip::{
-        Clearance, CrashReport, EvidenceMessage, HolderAnswer, LoadAnswer, LoadQuery, Outbox,
-        PeerKey, PermitAnswer, PermitQuery, ServerAnswer, StreamQuery,
+        Clearance, CrashReport, EvidenceMessage, GossipMessage, HolderAnswer, LoadAnswer,
+        LoadQuery, Outbox, PeerDirectory, PeerKey, PermitAnswer, PermitQuery, SealError, Sender,
+        ServerAnswer, StreamQuery, seal,
     },
     header_codec::{
         ForwardHeaders, HeaderCodec, HeaderError, LimitNotice, RequestHeaders, ResponseOrigin,
