Publish no changes of a table across a gap

Cause: a router that reads the store for others lists the table after the store has forgotten its history, and publishes the listing's revision without changes. Its outbox still held changes from before and joined both to one delta, which seems to cover what was changed in between. Routers that follow it missed the row of a restarted router for good and dropped its datagrams, so that two routers owned the permits of one server.

Ruled out: the followers, which check that a delta continues their revision.

Change: the outbox drops what it holds if the next read does not continue it, also if this router had stopped reading for others in between. Followers see a gap and read the store.

--- a/crates/relay/src/gossip/outbox.rs
+++ b/crates/relay/src/gossip/outbox.rs
@@ -28,9 +28,12 @@
 }
 
 impl Outbox {
-    /// Adds the changes of one read of the store, made at `now`.
+    /// Adds the changes of one read of the store, made at `now`. Changes that it does not continue are
+    /// dropped: after a listing, what was changed before it is not known, and the other routers read
+    /// the store.
     pub fn put(&mut self, delta: TableDelta, now: Duration) {
-        if delta.era != self.era {
+        let is_continued = delta.era == self.era && self.revision == Some(delta.since);
+        if !is_continued {
             self.batches.clear();
         }
         self.era = delta.era;
--- a/crates/relay/tests/outbox.rs
+++ b/crates/relay/tests/outbox.rs
@@ -36,6 +36,22 @@
     }
 }
 
+/// Guards against routers that miss what changed before a listing and believe to be up to date: a store
+/// that forgets its history, and a router that read the store before and does so again.
+#[test]
+fn changes_before_a_gap_are_not_joined_with_later_ones() {
+    for (since, revision, changes) in [(12, 12, 0), (8, 9, 1), (4, 9, 1)] {
+        let mut outbox = Outbox::default();
+        outbox.put(delta(3, 5, 100), ms(0));
+        let mut later = delta(since, revision, 100);
+        later.changes.truncate(changes);
+        outbox.put(later, ms(100));
+        let delta = outbox.take(ms(200)).unwrap();
+        assert_eq!((delta.since, delta.revision), (since, revision));
+        assert_eq!(delta.changes.len(), changes, "since {since}");
+    }
+}
+
 #[test]
 fn changes_too_large_for_a_datagram_are_left_out() {
     let mut outbox = Outbox::default();
