Take no other kind of response for the rest of a stream

Callers could see: an error's text within their stream, or a stream that had ended as if complete, if the next server answered with an error under a status of success.

Cause: any status of success counted as the rest of the stream.

Change: only a response with the status and media type of the first one goes on with a stream.

--- a/crates/relay/src/callers/service.rs
+++ b/crates/relay/src/callers/service.rs
@@ -12,7 +12,7 @@
         core::{Core, Phase},
         forward::{
             Attempts, ForwardedResponse, Job, Problem, Reason, RefusalCause, StreamBody,
-            check_quarantine, dispatch, retry_after,
+            StreamKind, check_quarantine, dispatch, retry_after,
         },
         streams,
     },
@@ -133,7 +133,8 @@
             Ok(server_response(head, ResponseBody::buffered(body)))
         }
         Ok(Ok(ForwardedResponse::Stream(head, exchange))) => {
-            let stream = StreamBody::new(core, &job, attempts, exchange);
+            let kind = StreamKind::from(&head);
+            let stream = StreamBody::new(core, &job, attempts, exchange, kind);
             Ok(server_response(head, ResponseBody::stream(stream)))
         }
         Ok(Err(problem)) => Err(problem),
--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod retry_after;
 mod standby;
 mod stream;
+mod stream_kind;
 mod stream_timing;
 mod waiting;
 
@@ -27,4 +28,5 @@
     problem::{Problem, Reason},
     retry_after::{RefusalCause, retry_after},
     stream::StreamBody,
+    stream_kind::StreamKind,
 };
--- a/crates/relay/src/forward/standby.rs
+++ b/crates/relay/src/forward/standby.rs
@@ -8,6 +8,7 @@
         exchange::Exchange,
         job::Job,
         problem::{Problem, Reason},
+        stream_kind::StreamKind,
         waiting::MAX_OVERLAP,
     },
     crate::core::Core,
@@ -29,6 +30,7 @@
 /// not given up before the other one has sent an event, or has not refused the request for
 /// [`MAX_OVERLAP`].
 pub struct Standby {
+    kind: StreamKind,
     progress: StandbyProgress,
     /// What it has sent so far.
     received: BytesMut,
@@ -52,7 +54,7 @@
 }
 
 impl Standby {
-    /// Asks another server, if one has capacity, to resume the stream after `last_event`.
+    /// Asks another server, if one has capacity, to resume a stream of this kind after `last_event`.
     #[must_use]
     pub fn ask(
         core: &Rc<Core>,
@@ -60,6 +62,7 @@
         attempts: &Rc<Attempts>,
         silent: ServerKey,
         last_event: Option<String>,
+        kind: StreamKind,
     ) -> Self {
         let (core, job, attempts) = (Rc::clone(core), Rc::clone(job), Rc::clone(attempts));
         let asking = async move {
@@ -70,6 +73,7 @@
             dispatch(&core, &job, &attempts, last_event, Some(placement)).await
         };
         Self {
+            kind,
             progress: StandbyProgress::Asking(Box::pin(asking)),
             received: BytesMut::new(),
             takes_over: Box::pin(sleep_until(Instant::now() + MAX_OVERLAP)),
@@ -87,7 +91,7 @@
         if let StandbyProgress::Asking(asking) = &mut self.progress
             && let Poll::Ready(result) = asking.as_mut().poll(context)
         {
-            match exchange_of(result) {
+            match exchange_of(result, &self.kind) {
                 Ok(exchange) => self.progress = StandbyProgress::Answering(exchange),
                 Err(reason) => return Poll::Ready(StandbyOutcome::Failed(reason)),
             }
@@ -125,11 +129,21 @@
     }
 }
 
-/// Returns the exchange of a response that resumes a stream, or why there is none.
-pub fn exchange_of(result: Result<ForwardedResponse, Problem>) -> Result<Box<Exchange>, String> {
+/// Returns the exchange of a response that resumes a stream of this kind, or why there is none.
+pub fn exchange_of(
+    result: Result<ForwardedResponse, Problem>,
+    kind: &StreamKind,
+) -> Result<Box<Exchange>, String> {
     match result {
-        Ok(ForwardedResponse::Stream(head, exchange)) if head.status.is_success() => Ok(exchange),
-        Ok(_) => Err("the server chosen to resume the stream responded with an error".to_owned()),
+        Ok(ForwardedResponse::Stream(head, exchange)) if StreamKind::from(&head) == *kind => {
+            Ok(exchange)
+        }
+        Ok(ForwardedResponse::Stream(head, _) | ForwardedResponse::Buffered(head, _)) => {
+            Err(format!(
+                "the server chosen to resume the stream responded with {:?}",
+                StreamKind::from(&head)
+            ))
+        }
         Err(problem) => Err(format!(
             "no server can resume the stream: {}",
             problem.reason.code()
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -10,6 +10,7 @@
         exchange::Exchange,
         job::Job,
         standby::{Resuming, Standby, StandbyOutcome, StandbyProgress, exchange_of},
+        stream_kind::StreamKind,
         stream_timing::StreamTiming,
     },
     crate::{core::Core, streams},
@@ -50,6 +51,7 @@
     core: Rc<Core>,
     job: Rc<Job>,
     attempts: Rc<Attempts>,
+    kind: StreamKind,
     state: State,
     /// Resumption at another server while the present one is silent.
     standby: Option<Standby>,
@@ -67,13 +69,14 @@
 }
 
 impl StreamBody {
-    /// Creates a body that forwards what `exchange` reads.
+    /// Creates a body that forwards what `exchange` reads, as a response of this kind.
     #[must_use]
     pub fn new(
         core: &Rc<Core>,
         job: &Rc<Job>,
         attempts: Attempts,
         exchange: Box<Exchange>,
+        kind: StreamKind,
     ) -> Self {
         let is_resumable = job.route.retry_safety == RetrySafety::ResumableStream;
         if !is_resumable {
@@ -84,6 +87,7 @@
             core: Rc::clone(core),
             job: Rc::clone(job),
             attempts: Rc::new(attempts),
+            kind,
             state: State::Reading(exchange),
             standby: None,
             early_data: None,
@@ -187,7 +191,7 @@
         let Poll::Ready(result) = resuming.as_mut().poll(context) else {
             return Poll::Pending;
         };
-        match exchange_of(result) {
+        match exchange_of(result, &self.kind) {
             Ok(exchange) => {
                 self.take_over(StandbyProgress::Answering(exchange), Bytes::new());
                 self.poll_reading(context)
@@ -271,6 +275,7 @@
             &self.attempts,
             silent,
             last_event,
+            self.kind.clone(),
         ))
     }
 
