Answer for streams only by current knowledge

Callers could see: a stream of a new software version that went on at another one, when it was taken up at a router that was cut off while the new version joined (report of other operators; ORDER).

Cause: a router that hears nobody counts itself as the owner of the streams, and concluded from the one version that it knew that this version had begun all of them, however old that knowledge was.

Change: a router that has stood still for a second, or hears no more than half of the fleet, answers for streams only once it has read the rows of the store again, and refuses them at once if it cannot. After that its servers are in doubt for 1.2 s.

--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -8,6 +8,7 @@
 //! - While there are several, routers tell the owner of the streams which version began each.
 //! - The owner writes what it is told to the store, in batches.
 
+mod contact;
 mod journal;
 mod note;
 mod origins;
@@ -15,6 +16,7 @@
 mod versions;
 
 pub use {
+    contact::{Contact, Standing},
     journal::MAX_NOTES_PER_ROW,
     note::{Note, StreamKey},
     origins::{Lookup, Origins, Write},
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -224,7 +224,7 @@
             match row {
                 RecordRow::Version(version) => self.versions.on_recorded(version, now),
                 RecordRow::Notes { number, notes } => {
-                    if is_own {
+                    if is_own && !self.has_rows {
                         self.journal.on_earlier_row(number);
                     }
                     for note in notes {
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -135,10 +135,7 @@
         }
         // A stream does not go on at a server that may have started again as another version.
         if matches!(request.versions, VersionBound::Only(_))
-            && let Some(left) = self
-                .states
-                .get(&key)
-                .and_then(|state| state.doubt_left(self.registry.is_current(), now))
+            && let Some(left) = self.doubt_left(key, now)
         {
             return Some((left, PlacementError::Unverified(left)));
         }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -21,6 +21,8 @@
 const MAX_BACKOFF: Duration = Duration::from_mins(5);
 /// Time within which a server that has started again is announced.
 const ANNOUNCEMENT_LAG: Duration = Duration::from_secs(3);
+/// Time after which a router that has been out of step has read the list of servers again, if it can.
+const RESYNC_TIME: Duration = Duration::from_millis(1200);
 /// Minimum time until it is asked again whether a server has started as another version.
 const MIN_DOUBT: Duration = Duration::from_millis(300);
 /// Bounds of an engine's slowdown: actual over predicted time to first event.
@@ -51,17 +53,6 @@
             is_changed: false,
         }
     }
-
-    /// Returns for how long the server may be another version than it has announced: it may have
-    /// started again. While the list of servers is not current, that does not end.
-    pub(crate) fn doubt_left(&self, is_list_current: bool, now: Duration) -> Option<Duration> {
-        let left = (self.failed_at? + ANNOUNCEMENT_LAG).saturating_sub(now);
-        match (left.is_zero(), is_list_current) {
-            (true, true) => None,
-            (true, false) => Some(MIN_DOUBT),
-            (false, _) => Some(left),
-        }
-    }
 }
 
 /// Places requests by this router's view of the backend servers.
@@ -79,6 +70,8 @@
     reported_parts: ReportedParts,
     /// Exponentially weighted mean length of the prompts sent.
     pub(crate) mean_prompt_tokens: f64,
+    /// When this router was out of step with the fleet last, so that any server may have started again.
+    out_of_step_at: Option<Duration>,
     /// Routers of the fleet, if known otherwise than by their reports.
     fleet_size: usize,
     /// Mean load of each service's servers by the answers of their owners; empty in a fleet whose
@@ -108,6 +101,7 @@
             unreported_parts: Vec::new(),
             reported_parts: ReportedParts::Shared,
             mean_prompt_tokens: 0.0,
+            out_of_step_at: None,
             fleet_size: 1,
             typical_loads: HashMap::new(),
         }
@@ -259,12 +253,29 @@
     #[must_use]
     pub fn is_surely(&self, key: ServerKey, version: &str, now: Duration) -> bool {
         let server = self.registry.get(key);
-        let state = self.states.get(&key);
         server.is_some_and(|server| server.software_version == version)
-            && state.is_none_or(|state| {
-                let is_list_current = self.registry.is_current();
-                state.doubt_left(is_list_current, now).is_none()
-            })
+            && self.doubt_left(key, now).is_none()
+    }
+
+    /// Returns for how long a server may be another version than it has announced, because it may have
+    /// started again. While the list of servers is not current, that does not end.
+    pub(crate) fn doubt_left(&self, key: ServerKey, now: Duration) -> Option<Duration> {
+        let failed_at = self.states.get(&key).and_then(|state| state.failed_at);
+        let until = failed_at
+            .map(|at| at + ANNOUNCEMENT_LAG)
+            .max(self.out_of_step_at.map(|at| at + RESYNC_TIME))?;
+        let left = until.saturating_sub(now);
+        match (left.is_zero(), self.registry.is_current()) {
+            (true, true) => None,
+            (true, false) => Some(MIN_DOUBT),
+            (false, _) => Some(left),
+        }
+    }
+
+    /// Records that this router has stood still or was cut off, and may have missed that servers have
+    /// started again.
+    pub fn on_out_of_step(&mut self, now: Duration) {
+        self.out_of_step_at = Some(now);
     }
 
     /// Returns how long a server still wants no requests from this router, if it does.
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -9,11 +9,16 @@
         loads,
         shared::RecordCall,
     },
-    baobab_origin::{Lookup, Note, Origins, RecordRow, StreamKey, VersionOf},
+    baobab_origin::{Contact, Lookup, Note, Origins, RecordRow, Standing, StreamKey, VersionOf},
     baobab_place::{Server, SoftwareVersion},
     baobab_routing::RetrySafety,
     baobab_unit::HostId,
-    std::{collections::BTreeSet, time::Duration},
+    baobab_watch::suspension_clock,
+    std::{collections::BTreeSet, rc::Rc, time::Duration},
+    tokio::{
+        sync::Notify,
+        time::{Instant, timeout_at},
+    },
 };
 
 /// Minimum time for which it is kept which version began a stream.
@@ -32,6 +37,11 @@
 /// Delay before a retry if the owner has not read the store yet, or does not answer.
 const NOT_READ_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Share of the fleet that a router has to hear, itself included, to trust what it knows by gossip.
+const MIN_HEARD_SHARE: f64 = 0.5;
+/// Time for which a stream that is taken up waits until the store was read.
+const MAX_READ_WAIT: Duration = Duration::from_secs(1);
+
 /// State of the exchange.
 #[derive(Debug)]
 pub struct Streams {
@@ -40,7 +50,13 @@
     owner: Option<HostId>,
     told_at: Duration,
     told_versions: Vec<VersionOf>,
-    is_reading: bool,
+    /// Whether this router has been out of step with the fleet.
+    contact: Contact,
+    /// When the reading of the rows that is under way was requested, on the suspension clock.
+    read_requested_at: Option<Duration>,
+    /// The same for the last one that has ended.
+    rows_as_of: Option<Duration>,
+    rows_read: Rc<Notify>,
     /// When the servers were listed first.
     listed_at: Option<Duration>,
     /// Whether streams can begin and go on here, as far as records decide that.
@@ -54,7 +70,10 @@
             owner: None,
             told_at: Duration::ZERO,
             told_versions: Vec::new(),
-            is_reading: false,
+            contact: Contact::default(),
+            read_requested_at: None,
+            rows_as_of: None,
+            rows_read: Rc::default(),
             listed_at: None,
             is_settled: false,
         }
@@ -71,10 +90,14 @@
     job: &Job,
     stream: Option<StreamKey>,
 ) -> Result<SoftwareVersion, Problem> {
+    let is_known = is_up_to_date(core) || read_rows_now(core).await;
     let now = core.now();
-    let noted = stream.and_then(|stream| core.streams.borrow().origins.noted(stream));
+    let noted = stream
+        .filter(|_| is_known)
+        .and_then(|stream| core.streams.borrow().origins.noted(stream));
     let owner = core.peer_directory.borrow().owner(Owned::Streams, now);
     let (lookup, source) = match (noted, owner) {
+        (None, None) if !is_known => (Lookup::NotRead, "own"),
         (Some(noted), _) => (noted, "own"),
         (None, None) => (
             core.streams.borrow().origins.look_up(stream, &job.service),
@@ -102,6 +125,64 @@
     }
 }
 
+/// Records whether this router keeps up with the fleet. Returns whether it may answer for streams by
+/// what it knows: in a large fleet, a router that is not the owner of the streams asks that one anyway.
+fn is_up_to_date(core: &Core) -> bool {
+    let standing = step(core);
+    let owner = core
+        .peer_directory
+        .borrow()
+        .owner(Owned::Streams, core.now());
+    let answers_itself = owner.is_none() || !loads::asks_owners(core);
+    let is_in_step = standing == Standing::InStep;
+    !answers_itself || (is_in_step && !core.streams.borrow().contact.is_outdated())
+}
+
+fn step(core: &Core) -> Standing {
+    let now = core.now();
+    let mut placer = core.placer.borrow_mut();
+    let is_list_current = placer.registry.is_current();
+    let (is_listed, heard_share) = {
+        let peer_directory = core.peer_directory.borrow();
+        (
+            peer_directory.is_listed(),
+            peer_directory.reachable_share(now),
+        )
+    };
+    let hears_fleet = !is_listed || heard_share > MIN_HEARD_SHARE;
+    let mut streams = core.streams.borrow_mut();
+    let was_outdated = streams.contact.is_outdated();
+    let standing = streams.contact.step(hears_fleet, suspension_clock());
+    if standing == Standing::StoodStill || (standing == Standing::CutOff && !is_list_current) {
+        placer.on_out_of_step(now);
+    }
+    if standing != Standing::InStep && !was_outdated {
+        log::warn!(standing:?, heard_share, is_list_current; "router is out of step with the fleet");
+    }
+    standing
+}
+
+/// Reads the rows of the store, and waits for them. Returns whether they were read in time; not if the
+/// store cannot be reached.
+async fn read_rows_now(core: &Core) -> bool {
+    let arrived = suspension_clock();
+    let deadline = Instant::now() + MAX_READ_WAIT;
+    loop {
+        let rows_read = {
+            let mut streams = core.streams.borrow_mut();
+            if streams.rows_as_of.is_some_and(|at| at >= arrived) {
+                return true;
+            }
+            read_rows(core, &mut streams);
+            Rc::clone(&streams.rows_read)
+        };
+        let is_reachable = core.placer.borrow().registry.is_current();
+        if !is_reachable || timeout_at(deadline, rows_read.notified()).await.is_err() {
+            return false;
+        }
+    }
+}
+
 /// Returns the refusal of a stream that cannot go on. Its caller is told to come back when its time is
 /// over: no earlier attempt would find more.
 pub fn hopeless(reason: Reason, time_left: Duration) -> Problem {
@@ -110,10 +191,13 @@
 
 /// Answers the question of another router.
 pub fn on_query(core: &Core, query: &StreamQuery) -> Lookup {
-    core.streams
-        .borrow()
-        .origins
-        .look_up(query.stream, &query.service)
+    let is_known = is_up_to_date(core);
+    let mut streams = core.streams.borrow_mut();
+    if !is_known {
+        read_rows(core, &mut streams);
+        return Lookup::NotRead;
+    }
+    streams.origins.look_up(query.stream, &query.service)
 }
 
 /// Records that a server's first event of a stream is passed on, or that it goes on with a stream.
@@ -170,8 +254,12 @@
     log::info!(rows = rows.len(); "records of streams are read");
     let now = core.now();
     let mut streams = core.streams.borrow_mut();
-    streams.is_reading = false;
     streams.origins.on_rows(rows, now);
+    if let Some(requested_at) = streams.read_requested_at.take() {
+        streams.rows_as_of = Some(requested_at);
+        streams.contact.on_rows(requested_at);
+    }
+    streams.rows_read.notify_waiters();
 }
 
 /// Records the result of a write.
@@ -186,8 +274,9 @@
 /// Exchanges what is new with the owner of the streams, or with the store if this router is the owner.
 pub fn tick(core: &Core) {
     let now = core.now();
+    let standing = step(core);
     update_announced(core);
-    exchange(core, now);
+    exchange(core, standing, now);
     let mut streams = core.streams.borrow_mut();
     if core.placer.borrow().registry.has_list() {
         streams.listed_at.get_or_insert(now);
@@ -199,7 +288,7 @@
             .is_some_and(|at| now.saturating_sub(at) > MAX_SETTLE_TIME);
 }
 
-fn exchange(core: &Core, now: Duration) {
+fn exchange(core: &Core, standing: Standing, now: Duration) {
     // Before the routers are listed, each would count itself as the owner.
     if !core.peer_directory.borrow().is_listed() {
         return;
@@ -212,7 +301,8 @@
     }
     // In a small fleet every router knows all streams.
     let is_small = !loads::asks_owners(core);
-    if (is_small || owner.is_none()) && streams.origins.needs_rows() {
+    let is_outdated = standing == Standing::InStep && streams.contact.is_outdated();
+    if (is_small || owner.is_none()) && (streams.origins.needs_rows() || is_outdated) {
         read_rows(core, &mut streams);
     }
     if let Some(host) = owner {
@@ -227,8 +317,8 @@
 }
 
 fn read_rows(core: &Core, streams: &mut Streams) {
-    if !streams.is_reading {
-        streams.is_reading = true;
+    if streams.read_requested_at.is_none() {
+        streams.read_requested_at = Some(suspension_clock());
         core.shared.records.send(RecordCall::Read);
     }
 }
