--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -212,6 +212,9 @@
             log::warn!(table = self.table.as_str(), era = listing.era; "the store was restored from a copy");
             self.listener.on_restored();
         }
+        if self.era.is_none() && listing.era > 0 {
+            self.listener.on_listed_restored();
+        }
         self.era = Some(listing.era);
         self.revision = Some(listing.revision);
         self.signals
--- a/crates/watch/src/source.rs
+++ b/crates/watch/src/source.rs
@@ -83,6 +83,10 @@
     /// listing may contain outdated rows and lack others, until their owners write them again.
     fn on_restored(&mut self);
 
+    /// Signals that the first listing is that of a store that was restored before, perhaps a moment
+    /// ago.
+    fn on_listed_restored(&mut self) {}
+
     /// Replaces the whole table.
     fn on_listing(&mut self, rows: Vec<Row>);
 
