Tell other routers which servers have broken connections off

Cause: only the router that loses a connection doubts that the server is what it was announced as.

Change: connections of requests that are lost, and servers that are unreachable, are told to the other routers with the next datagram. Idle connections are not, since sound servers close them too.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -8,7 +8,10 @@
     },
     baobab_limit::Limits,
     baobab_unit::HostId,
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::Duration,
+    },
 };
 
 /// Weight of the newest first event in an engine's exponentially weighted slowdown.
@@ -67,6 +70,7 @@
     pub(crate) tuning: Tuning,
     pub(crate) states: HashMap<ServerKey, ServerState>,
     unreported_parts: Vec<(ServerKey, Part)>,
+    unreported_losses: BTreeSet<ServerKey>,
     reported_parts: ReportedParts,
     /// Exponentially weighted mean length of the prompts sent.
     pub(crate) mean_prompt_tokens: f64,
@@ -99,6 +103,7 @@
             tuning,
             states: HashMap::new(),
             unreported_parts: Vec::new(),
+            unreported_losses: BTreeSet::new(),
             reported_parts: ReportedParts::Shared,
             mean_prompt_tokens: 0.0,
             out_of_step_at: None,
@@ -195,17 +200,40 @@
         };
         if outcome == ServerOutcome::Unreachable {
             state.failed_at = Some(now);
+            self.unreported_losses.insert(key);
         }
         state.health.on_outcome(outcome, now)
     }
 
-    /// Records that a server has closed the connection of a request, as if it had ended.
+    /// Records that a server has closed an idle connection, as if it had ended.
     pub fn on_connection_lost(&mut self, key: ServerKey, now: Duration) {
         if let Some(state) = self.states.get_mut(&key) {
             state.failed_at = Some(now);
         }
     }
 
+    /// Records that a server has closed the connection of a request, as if it had ended. The other
+    /// routers are told.
+    pub fn on_request_lost(&mut self, key: ServerKey, now: Duration) {
+        self.on_connection_lost(key, now);
+        self.unreported_losses.insert(key);
+    }
+
+    /// Records that another router has lost the connection of a request to a server.
+    pub fn on_peer_loss(&mut self, key: ServerKey, now: Duration) {
+        if self.registry.get(key).is_some() {
+            let state = self.states.entry(key).or_insert_with(ServerState::new);
+            state.failed_at = Some(now);
+        }
+    }
+
+    /// Removes and returns the servers to which connections were lost, for the other routers.
+    pub fn take_unreported_losses(&mut self) -> Vec<ServerKey> {
+        std::mem::take(&mut self.unreported_losses)
+            .into_iter()
+            .collect()
+    }
+
     /// Records that a server has not answered a request for so long that it counts as a failure,
     /// while the request goes on. Returns whether that ejects the server.
     pub fn on_silence(&mut self, key: ServerKey, now: Duration) -> bool {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -160,7 +160,8 @@
             Err(SendError::NotSent(reason)) => return Err(AttemptError::NotSent(reason)),
             Err(SendError::Closed(reason)) => {
                 if !is_explained() {
-                    on_closed();
+                    let now = core.now();
+                    core.placer.borrow_mut().on_request_lost(server.key, now);
                 }
                 return Err(AttemptError::Closed(reason));
             }
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -90,7 +90,7 @@
             self.core
                 .placer
                 .borrow_mut()
-                .on_connection_lost(load_guard.server.key, self.core.now());
+                .on_request_lost(load_guard.server.key, self.core.now());
         }
         if let Some(beginning) = self.beginning.take() {
             beginning.on_broken(&self.core);
--- a/crates/relay/src/gossip/message.rs
+++ b/crates/relay/src/gossip/message.rs
@@ -63,6 +63,8 @@
     pub notes: Vec<Note>,
     /// Recorded versions of the services, as their owner knows them.
     pub versions: Option<Vec<VersionOf>>,
+    /// Servers that have broken a connection off or refused one, and may have started again.
+    pub lost_servers: Vec<ServerKey>,
 }
 
 /// Confirmation by the store that a version is the newest one, as routers exchange it: without a
@@ -117,6 +119,7 @@
     limits: Vec<WireLimit>,
     notes: Vec<u8>,
     versions: Option<Vec<(String, String)>>,
+    lost_servers: Vec<u32>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -170,6 +173,7 @@
                 let names = |of: &VersionOf| (of.service.clone(), of.version.clone());
                 versions.iter().map(names).collect()
             }),
+            lost_servers: message.lost_servers.clone(),
         }
     }
 }
@@ -201,6 +205,7 @@
                 let version_of = |(service, version)| VersionOf { service, version };
                 versions.into_iter().map(version_of).collect()
             }),
+            lost_servers: wire.lost_servers,
         }
     }
 }
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -102,6 +102,7 @@
         } else {
             message = gossip_message(&core, is_full, rates.is_due(now));
         }
+        message.lost_servers = core.placer.borrow_mut().take_unreported_losses();
         let confirmation = gossip_confirmation(&core);
         if tables.is_due(now) {
             message.tables = table_updates(&core, now);
@@ -312,6 +313,9 @@
                     part_directory.on_use(update.part.id, update.server, now);
                 }
                 drop(part_directory);
+                for server in message.lost_servers {
+                    placer.on_peer_loss(server, now);
+                }
                 let random_fraction = core.random_fraction();
                 core.evidence
                     .borrow_mut()
