Let streams go on when the owner of their records has ended

Callers saw: streams of a router that had been stopped or killed were refused at the other one with 503 stream_origin_unknown.

Cause: a router that has just ended counts as the owner of the streams until it is silent for two seconds, and no answer of its meant a refusal.

Ruled out: doubts of servers; the refusal comes before a server is chosen.

Change: without an answer, routers of a small fleet read the rows of the store and answer by these and their own notes, which hold what the owner knows.

Evidence: platform/tests/owner_ends.rs on: with one version and the owner ended, no stream went on; now all do, by SIGTERM and SIGKILL, with one version and two, at their version.

--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -109,7 +109,15 @@
                 service: job.service.clone(),
             };
             let answer = loads::ask_stream(core, host, query).await;
-            (answer.unwrap_or(Lookup::NotRead), "asked")
+            let answer = answer.unwrap_or(Lookup::NotRead);
+            // In a small fleet every router knows all notes, and what the store holds.
+            let is_missing = answer == Lookup::NotRead && !loads::asks_owners(core);
+            if is_missing && read_rows_now(core).await {
+                let streams = core.streams.borrow();
+                (streams.origins.look_up(stream, &job.service), "store")
+            } else {
+                (answer, "asked")
+            }
         }
     };
     log::info!(id = job.id.as_str(), stream:?, lookup:?, source; "stream is taken up");
