Take an idle time for a server's timeout only when it repeats itself

A closed idle connection is no evidence of a server's end if it was idle for as long as others that the server has closed. One earlier closure was enough for that, and any time between the shortest and the longest one counted. A server that ends several times, or whose connections are cut on the way, could so pass for one with an idle timeout, and a stream go on there at another version.

Change: the idle time must have occurred on two earlier occasions, 0.1 s more or less, and be 0.25 s at least: connections in steady use are idle for a moment whenever their server ends.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -6,6 +6,7 @@
     baobab_place::{Server, ServerKey},
     quick_error::quick_error,
     std::{cell::RefCell, collections::HashMap, time::Duration},
+    tokio::time::Instant,
 };
 
 /// Timeouts of connections to servers.
@@ -67,6 +68,7 @@
     /// Removes closed and expired idle connections. Returns whether the server has closed one for
     /// another reason than its idle timeout, as a server that ends.
     fn remove_closed(&mut self) -> bool {
+        let now = Instant::now();
         let mut has_unexplained = false;
         let (idle_timeout, before) = (&mut self.idle_timeout, self.idle.len());
         self.idle.retain(|idle| {
@@ -76,7 +78,7 @@
             if !is_closed {
                 idle_timeout.on_open(idle_for);
             } else if !is_expired {
-                has_unexplained |= !idle_timeout.on_closed(idle_for);
+                has_unexplained |= !idle_timeout.on_closed(idle_for, now);
             }
             !is_closed && !is_expired
         });
@@ -122,7 +124,7 @@
     pub fn on_closed_in_use(&self, server: ServerKey, idle_for: Duration) -> bool {
         let mut servers = self.servers.borrow_mut();
         let connections = servers.entry(server).or_default();
-        connections.idle_timeout.on_closed(idle_for)
+        connections.idle_timeout.on_closed(idle_for, Instant::now())
     }
 
     /// Opens a connection. Closes an idle one first if the limit is reached.
--- a/crates/relay/tests/idle_timeout.rs
+++ b/crates/relay/tests/idle_timeout.rs
@@ -1,40 +1,63 @@
 //! Which closed idle connections are explained by a server's idle timeout.
 
-use {baobab_relay::ObservedIdleTimeout, std::time::Duration};
+use {baobab_relay::ObservedIdleTimeout, std::time::Duration, tokio::time::Instant};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
+/// Returns whether the last of these closures, each with its time and the idle time, is explained.
+fn is_explained(idle_timeout: &mut ObservedIdleTimeout, closures: &[(u64, u64)]) -> bool {
+    let start = Instant::now();
+    let explained = closures
+        .iter()
+        .map(|(at, idle_for)| idle_timeout.on_closed(ms(*idle_for), start + ms(*at)));
+    explained.last().unwrap()
+}
+
 #[test]
-fn only_a_repeated_idle_time_is_explained() {
-    for (closed_after, last, is_explained) in [
-        (&[][..], 500, false),
-        (&[500], 500, true),
-        (&[500], 590, true),
-        (&[500], 410, true),
+fn only_an_idle_time_that_repeats_itself_is_explained() {
+    for (closures, expected) in [
+        (&[(0, 500)][..], false),
+        (&[(0, 500), (1_000, 500)], false),
+        (&[(0, 500), (1_000, 500), (2_000, 500)], true),
+        (&[(0, 500), (1_000, 540), (2_000, 590)], true),
         // The server closes all connections, whatever their idle time.
-        (&[500, 500], 200, false),
+        (&[(0, 500), (1_000, 500), (2_000, 300)], false),
+        (&[(0, 500), (1_000, 500), (2_000, 500), (2_001, 300)], false),
+        (&[(0, 500), (1, 500), (2, 500), (3, 500)], false),
+        // In steady use they are idle for a moment whenever it ends.
+        (&[(0, 20), (1_000, 20), (2_000, 20), (3_000, 20)], false),
         // This router stood still, or the server closes them later than before.
-        (&[500, 500], 1500, false),
-        (&[300, 900], 600, true),
+        (&[(0, 500), (1_000, 500), (2_000, 1_500)], false),
+        // Its timeouts differ.
+        (
+            &[
+                (0, 300),
+                (1_000, 600),
+                (2_000, 900),
+                (3_000, 650),
+                (4_000, 620),
+            ],
+            true,
+        ),
     ] {
         let mut idle_timeout = ObservedIdleTimeout::default();
-        for idle_for in closed_after {
-            idle_timeout.on_closed(ms(*idle_for));
-        }
-        let result = idle_timeout.on_closed(ms(last));
-        assert_eq!(result, is_explained, "{last} after {closed_after:?}");
+        assert_eq!(
+            is_explained(&mut idle_timeout, closures),
+            expected,
+            "{closures:?}"
+        );
     }
 }
 
 #[test]
 fn an_idle_time_that_connections_survive_is_forgotten() {
-    for (survived, is_explained) in [(550, true), (700, false)] {
+    for (survived, expected) in [(550, true), (700, false)] {
         let mut idle_timeout = ObservedIdleTimeout::default();
-        idle_timeout.on_closed(ms(500));
+        is_explained(&mut idle_timeout, &[(0, 500), (1_000, 500)]);
         idle_timeout.on_open(ms(survived));
-        let result = idle_timeout.on_closed(ms(500));
-        assert_eq!(result, is_explained, "open after {survived} ms");
+        let result = idle_timeout.on_closed(ms(500), Instant::now() + ms(2_000));
+        assert_eq!(result, expected, "open after {survived} ms");
     }
 }
