Bound the lost servers in a datagram

Cause: all servers to which connections were lost went into one datagram, as many as a fleet has; in a crash of hundreds of them a link fragments it.

Change: 24 at most, like prompt parts; the others go with the next one.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -227,10 +227,10 @@
         }
     }
 
-    /// Removes and returns the servers to which connections were lost, for the other routers.
-    pub fn take_unreported_losses(&mut self) -> Vec<ServerKey> {
-        std::mem::take(&mut self.unreported_losses)
-            .into_iter()
+    /// Removes and returns up to `max` servers to which connections were lost, for the other routers.
+    pub fn take_unreported_losses(&mut self, max: usize) -> Vec<ServerKey> {
+        std::iter::from_fn(|| self.unreported_losses.pop_first())
+            .take(max)
             .collect()
     }
 
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -656,13 +656,17 @@
     placer.on_server_restarted(2);
     assert!(place(&placer, VersionBound::Only("v2")).is_ok());
     // What one router has seen, all doubt; it is told once.
-    assert!(placer.take_unreported_losses().is_empty());
+    assert!(placer.take_unreported_losses(2).is_empty());
     placer.on_request_lost(2, NOW);
-    assert_eq!(placer.take_unreported_losses(), [2]);
-    assert!(placer.take_unreported_losses().is_empty());
+    for key in [1, 3] {
+        placer.on_request_lost(key, NOW);
+    }
+    assert_eq!(placer.take_unreported_losses(2), [1, 2]);
+    assert_eq!(placer.take_unreported_losses(2), [3]);
+    assert!(placer.take_unreported_losses(2).is_empty());
     placer.on_server_restarted(2);
     placer.on_peer_loss(2, NOW);
     assert!(!placer.is_surely(2, "v2", NOW));
-    assert!(placer.take_unreported_losses().is_empty());
+    assert!(placer.take_unreported_losses(2).is_empty());
     assert!(placer.is_surely(2, "v2", NOW + Duration::from_secs(3)));
 }
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -24,6 +24,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum prompt parts per datagram, so that no link fragments it.
 const MAX_PARTS: usize = 24;
+/// Maximum servers per datagram to which connections were lost, for the same reason.
+const MAX_LOST_SERVERS: usize = 24;
 
 /// Fires at a fixed interval.
 struct Periodic {
@@ -102,7 +104,10 @@
         } else {
             message = gossip_message(&core, is_full, rates.is_due(now));
         }
-        message.lost_servers = core.placer.borrow_mut().take_unreported_losses();
+        message.lost_servers = core
+            .placer
+            .borrow_mut()
+            .take_unreported_losses(MAX_LOST_SERVERS);
         let confirmation = gossip_confirmation(&core);
         if tables.is_due(now) {
             message.tables = table_updates(&core, now);
