Log each decision of the retry budget, count repeats that reach servers

Cause: logs and metrics could not tell whether repeats beyond the budget come from forgotten runs, a wrong size of the fleet or a path without the budget. 'retry is decided' has what the budget counted; baobab_sends_total counts sends of a request after its first by whatever path. No decision has changed.

--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -37,6 +37,14 @@
         self.bucket_at(now).requests += 1;
     }
 
+    /// Returns the requests and retries of the window.
+    pub fn counts(&mut self, now: Duration) -> (u32, u32) {
+        self.bucket_at(now);
+        let requests = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let retries = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        (requests, retries)
+    }
+
     /// Takes one retry from the budget. Returns whether it was available.
     pub fn try_retry(&mut self, ratio: f64, fixed: f64, now: Duration) -> bool {
         let is_allowed = self.may_retry(ratio, fixed, now);
@@ -48,9 +56,7 @@
 
     /// Returns whether the budget has a retry left, without taking it.
     pub fn may_retry(&mut self, ratio: f64, fixed: f64, now: Duration) -> bool {
-        self.bucket_at(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let (requests, retries) = self.counts(now);
         let allowed = ratio * f64::from(requests) + fixed;
         f64::from(retries + 1) <= allowed
     }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -16,6 +16,7 @@
     },
     baobab_place::{PartDirectory, Peers, Placer, Registry, RetryBudget, ServerKey, Shares},
     baobab_routing::{ActiveConfiguration, Configuration, ConfirmationState},
+    baobab_unit::millis,
     baobab_watch::suspension_clock,
     rand::{SeedableRng, rngs::SmallRng},
     std::{
@@ -209,14 +210,27 @@
     }
 
     /// Takes one retry from this router's part of the fleet's budget. Returns whether one was left.
-    pub fn try_retry(&self, service: &str, reason: &str) -> bool {
+    pub fn try_retry(&self, id: &str, service: &str, reason: &str) -> bool {
         let (ratio, fixed) = self.retry_bounds();
         let now = self.now();
-        let is_allowed = self
-            .retry_budgets
-            .borrow_mut()
-            .get_mut(service)
-            .is_some_and(|budget| budget.try_retry(ratio, fixed, now));
+        let mut retry_budgets = self.retry_budgets.borrow_mut();
+        let Some(budget) = retry_budgets.get_mut(service) else {
+            return false;
+        };
+        let (requests, retries) = budget.counts(now);
+        let is_allowed = budget.try_retry(ratio, fixed, now);
+        log::info!(
+            id,
+            service,
+            reason,
+            is_allowed,
+            requests,
+            retries,
+            fixed,
+            fleet_size = self.peer_directory.borrow().fleet_size(),
+            run_ms = millis(now);
+            "retry is decided"
+        );
         if is_allowed {
             self.metrics.retries.with_label_values(&[reason]).inc();
         } else {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -136,11 +136,11 @@
             return Err(AttemptError::Unavailable);
         }
         let request = build_request(core, job, load_guard, fetch_from, resume_after);
-        job.sends.set(job.sends.get() + 1);
+        let counted_send = CountedSend::begin(core, job);
         let sent_at = Instant::now();
         let result = active.send(request).await;
         if matches!(result, Err(SendError::NotSent(_))) {
-            job.sends.set(job.sends.get() - 1);
+            counted_send.take_back();
         }
         let is_explained = || {
             let idle_for = idle_for.map(|idle_for| idle_for + sent_at.elapsed());
@@ -328,6 +328,46 @@
     KeepAlive::Reuse(idle_timeout)
 }
 
+/// Counts a request that is sent, also if that is cancelled.
+struct CountedSend<'a> {
+    core: &'a Core,
+    job: &'a Job,
+    is_repeat: bool,
+    is_sent: bool,
+}
+
+impl<'a> CountedSend<'a> {
+    fn begin(core: &'a Core, job: &'a Job) -> Self {
+        let is_repeat = job.was_sent();
+        job.sends.set(job.sends.get() + 1);
+        Self {
+            core,
+            job,
+            is_repeat,
+            is_sent: true,
+        }
+    }
+
+    /// Takes the count back: nothing was sent.
+    fn take_back(mut self) {
+        self.is_sent = false;
+        self.job.sends.set(self.job.sends.get() - 1);
+    }
+}
+
+impl Drop for CountedSend<'_> {
+    fn drop(&mut self) {
+        if self.is_sent {
+            let order = if self.is_repeat { "repeat" } else { "first" };
+            self.core
+                .metrics
+                .sends
+                .with_label_values(&[self.job.service.as_str(), order])
+                .inc();
+        }
+    }
+}
+
 /// A connection in use. Dropping it closes the connection and releases its slot in the pool.
 struct ActiveConnection {
     core: Rc<Core>,
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -144,7 +144,7 @@
     } else {
         None
     };
-    let placement = placement.filter(|_| core.try_retry(&job.service, "server_silent"));
+    let placement = placement.filter(|_| core.try_retry(&job.id, &job.service, "server_silent"));
     log::info!(
         id = job.id.as_str(),
         server = silent,
@@ -274,7 +274,7 @@
     let may_retry = waiting.is_empty()
         && job.route.retry_safety.is_retryable()
         && attempts.sent() < job.route.max_attempts
-        && core.try_retry(&job.service, "server_error");
+        && core.try_retry(&job.id, &job.service, "server_error");
     if may_retry {
         Ok(())
     } else {
@@ -314,7 +314,10 @@
         }
     };
     let has_another = attempts.sent() < job.route.max_attempts;
-    if may_retry && has_another && waiting.is_empty() && core.try_retry(&job.service, reason.code())
+    if may_retry
+        && has_another
+        && waiting.is_empty()
+        && core.try_retry(&job.id, &job.service, reason.code())
     {
         return Ok(());
     }
@@ -371,5 +374,5 @@
     job.route.retry_safety == RetrySafety::ResumableStream
         && !streams::is_doubtful(core, job.stream_key())
         && attempts.sent() < job.route.max_attempts
-        && core.try_retry(&job.service, "stream_broken")
+        && core.try_retry(&job.id, &job.service, "stream_broken")
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -18,6 +18,8 @@
     pub requests: IntCounterVec,
     /// Refusals by reason.
     pub refusals: IntCounterVec,
+    /// Requests that have reached servers, by service, and whether they had reached one before.
+    pub sends: IntCounterVec,
     /// Retries by reason.
     pub retries: IntCounterVec,
     /// Retries denied by the retry budget, by service.
@@ -105,6 +107,11 @@
                 &["service", "outcome"],
             ),
             refusals: counter("baobab_refusals_total", "Refusals by reason.", &["reason"]),
+            sends: counter(
+                "baobab_sends_total",
+                "Requests that have reached servers.",
+                &["service", "order"],
+            ),
             retries: counter("baobab_retries_total", "Repeats by reason.", &["reason"]),
             retries_denied: counter(
                 "baobab_retries_denied_total",
