Refuse what a stopping router cannot finish, also with a prompt

At the end of the grace period requests were cut without an answer, among them ones that may not be repeated. Cause: the time that a request with a prompt takes was estimated from its tokens whatever its kind; a request that is no stream was passed on though its timeout ends after the process. Without a prompt the route's timeout counted, and nothing was cut. Change: only streams are estimated; any other request is taken if its own timeout passes before the end.

--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -176,17 +176,18 @@
         .map_or_else(String::new, |target| target.service.clone())
 }
 
-/// Refuses requests that a stopping router would probably not finish in time.
+/// Refuses requests that a stopping router would probably not finish in time. A stream may break off and go on
+/// elsewhere; any other request is taken only if its timeout passes before the process ends.
 fn check_grace(core: &Core, job: &Job) -> Result<(), Problem> {
     let Some(grace_left) = core.grace_left() else {
         return Ok(());
     };
     let expected = match &job.prompt {
-        Some(prompt) => {
+        Some(prompt) if job.route.retry_safety.is_stream() => {
             let tokens = u32::try_from(prompt.expected_output()).unwrap_or(u32::MAX);
             EXPECTED_FIRST_EVENT + EXPECTED_TIME_PER_TOKEN.saturating_mul(tokens)
         }
-        None => job.route.timeout,
+        _ => job.time_left(),
     };
     let is_stream_while_draining =
         job.route.retry_safety.is_stream() && core.phase.get() == Phase::Draining;
