Apply the store's confirmations while a router stops

Found by the test of planned stops: from 1.8 s after the signal (RevokeMs 3,000) all requests with a key were refused as configuration_unconfirmed, 817 of 817 lookups in the test's span, though the process had two seconds left and callers still came. Cause: commands of the control thread were applied until the stop signal only, so the lease of the keys ran out, and changes of the configuration, of servers and of routers were not seen either. Change: commands are applied while the router drains.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,7 @@
     baobab_unit::id_of,
     flume::{Receiver, Sender},
     std::{
+        future::pending,
         rc::Rc,
         thread::{self, JoinHandle},
         time::Duration,
@@ -125,7 +126,10 @@
         tokio::task::spawn_local(loads::report_changes(Rc::clone(&core)));
         let _ = started.send(Ok(()));
         run_commands(&core, commands).await;
-        drain(&core).await;
+        tokio::select! {
+            () = drain(&core) => {}
+            () = run_commands_until_closed(&core, commands) => {}
+        }
         Ok(())
     })
 }
@@ -139,6 +143,14 @@
     }
 }
 
+/// Applies commands while the router stops. Never returns.
+async fn run_commands_until_closed(core: &Core, commands: &Receiver<Command>) {
+    while let Ok(command) = commands.recv_async().await {
+        apply(core, command);
+    }
+    pending().await
+}
+
 fn apply(core: &Core, command: Command) {
     let now = core.now();
     match command {
