--- a/test.sh
+++ b/test.sh
@@ -24,6 +24,8 @@
 # Servers that start again as another software version are in KNOWN-RED.txt; see below.
 soak --regressions platform/soak/regressions.txt --without-upgrades
 soak --seed 1 --seconds 8 --without-upgrades
+# Servers fail while routers end, so that the budget of repeats is used up.
+soak --seed 44003 --seconds 12 --failures-only
 # With twelve or more routers, only a few read the store's tables, on behalf of all.
 soak --seed 400 --seconds 8 --routers 14 --callers 2 --without-upgrades
 # With more than twenty routers, the owners of servers are asked for their load.
