--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -148,7 +148,7 @@
     while let Ok(command) = commands.recv_async().await {
         apply(core, command);
     }
-    pending().await
+    pending::<()>().await;
 }
 
 fn apply(core: &Core, command: Command) {
