--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attempts;
 mod broken_stream;
+mod counted_send;
 mod dispatch;
 mod events;
 mod exchange;
