--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        body_end::BodyEnd,
         counted_send::CountedSend,
         exchange::{Exchange, KeepAlive},
         headers::remove_hop_headers,
@@ -244,6 +245,7 @@
         apply_notices(core, &load_guard, &head);
     }
     let keep_alive = keep_alive(&head);
+    let body_end = BodyEnd::of(&head, &body);
     let error = match origin {
         ResponseOrigin::Genuine => {
             remove_hop_headers(&mut head.headers);
@@ -254,7 +256,9 @@
                 .status
                 .is_success()
                 .then(|| AnswerBeginning::of(job, load_guard.server.key));
-            let exchange = Exchange::new(core, connection, body, load_guard, keep_alive, beginning);
+            let exchange = Exchange::new(
+                core, connection, body, load_guard, keep_alive, body_end, beginning,
+            );
             return Ok(ServerResponse { head, exchange });
         }
         ResponseOrigin::NotRun => AttemptError::NotRun,
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -1,7 +1,7 @@
 //! Reads the body of a server's response.
 
 use {
-    super::load_guard::LoadGuard,
+    super::{body_end::BodyEnd, load_guard::LoadGuard},
     crate::{core::Core, evidence::AnswerBeginning},
     baobab_client::{Connection, is_closed_by_server},
     baobab_place::{Server, ServerOutcome},
@@ -23,6 +23,7 @@
     body: Incoming,
     load_guard: Option<LoadGuard>,
     keep_alive: KeepAlive,
+    body_end: BodyEnd,
     has_data: bool,
     beginning: Option<AnswerBeginning>,
 }
@@ -46,6 +47,7 @@
         body: Incoming,
         load_guard: LoadGuard,
         keep_alive: KeepAlive,
+        body_end: BodyEnd,
         beginning: Option<AnswerBeginning>,
     ) -> Self {
         Self {
@@ -54,6 +56,7 @@
             body,
             load_guard: Some(load_guard),
             keep_alive,
+            body_end,
             has_data: false,
             beginning,
         }
@@ -84,6 +87,12 @@
         }
     }
 
+    /// Returns what ends the body.
+    #[must_use]
+    pub fn body_end(&self) -> BodyEnd {
+        self.body_end
+    }
+
     /// Records that the server closed the connection in the middle of the response.
     pub fn on_broken(&mut self) {
         if let Some(load_guard) = &self.load_guard {
--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod attempts;
+mod body_end;
 mod broken_stream;
 mod counted_send;
 mod dispatch;
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -297,8 +297,17 @@
     }
 
     fn log_end(&self) {
+        let State::Reading(exchange) = &self.state else {
+            return;
+        };
+        let server = exchange.server();
         log::info!(
             id = self.job.id.as_str(),
+            server = server.map_or("-", |server| server.id.as_str()),
+            version = server.map_or("-", |server| server.software_version.as_str()),
+            body_end:? = exchange.body_end(),
+            last_event:? = self.splitter.as_ref().and_then(EventSplitter::last_id),
+            attempts = self.attempts.sent(),
             first_ms = millis(self.timing.first),
             objective_ms = millis(self.job.route.objective),
             longest_pause_ms = millis(self.timing.longest_pause),
