--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -33,6 +33,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    opened_at: Instant,
     used_at: Instant,
     closed_at: Rc<Cell<Option<Instant>>>,
 }
@@ -63,10 +64,12 @@
             let _ = driver.await;
             closed.set(Some(Instant::now()));
         });
+        let now = Instant::now();
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
-            used_at: Instant::now(),
+            opened_at: now,
+            used_at: now,
             closed_at,
         })
     }
@@ -106,6 +109,12 @@
         self.sender.is_closed() || self.driver.is_finished()
     }
 
+    /// Returns when the connection was opened.
+    #[must_use]
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Resets the idle time, once a response has ended.
     pub fn touch(&mut self) {
         self.used_at = Instant::now();
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        active_connection::ActiveConnection,
         body_end::BodyEnd,
         counted_send::CountedSend,
         exchange::{Exchange, KeepAlive},
@@ -133,7 +134,7 @@
             Some(connection) => connection,
             None => open(core, load_guard).await?,
         };
-        let mut active = ActiveConnection::new(core, load_guard, connection, was_idle);
+        let mut active = ActiveConnection::new(core, server.key, connection, was_idle);
         if !is_accepted(core, job, load_guard) {
             return Err(AttemptError::Unavailable);
         }
@@ -332,50 +333,3 @@
         .map(Duration::from_secs);
     KeepAlive::Reuse(idle_timeout)
 }
-
-/// A connection in use. Dropping it closes the connection and releases its slot in the pool.
-struct ActiveConnection {
-    core: Rc<Core>,
-    server: baobab_place::ServerKey,
-    connection: Option<Connection>,
-    /// Whether it had another request before.
-    is_reused: bool,
-}
-
-impl ActiveConnection {
-    fn new(
-        core: &Rc<Core>,
-        load_guard: &LoadGuard,
-        connection: Connection,
-        is_reused: bool,
-    ) -> Self {
-        Self {
-            is_reused,
-            core: Rc::clone(core),
-            server: load_guard.server.key,
-            connection: Some(connection),
-        }
-    }
-
-    async fn send(
-        &mut self,
-        request: Request<Full<bytes::Bytes>>,
-    ) -> Result<http::Response<Incoming>, SendError> {
-        match &mut self.connection {
-            Some(connection) => connection.send(request).await,
-            None => Err(SendError::NotSent("the connection is closed".to_owned())),
-        }
-    }
-
-    fn release(&mut self) -> Option<Connection> {
-        self.connection.take()
-    }
-}
-
-impl Drop for ActiveConnection {
-    fn drop(&mut self) {
-        if self.connection.take().is_some() {
-            self.core.pool.discard(self.server);
-        }
-    }
-}
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -236,6 +236,12 @@
             return Err("a response without content-length is too long".to_owned());
         }
     }
+    if head.status.is_success()
+        && let Err(reason) = poll_fn(|context| exchange.poll_end(context)).await
+    {
+        exchange.finish(ServerOutcome::Failure);
+        return Err(reason);
+    }
     let is_turned_away =
         head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(RETRY_AFTER);
     let outcome = if is_turned_away {
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -1,13 +1,14 @@
 //! Reads the body of a server's response.
 
 use {
-    super::{body_end::BodyEnd, load_guard::LoadGuard},
+    super::{body_end::BodyEnd, end_check::runs_on, load_guard::LoadGuard},
     crate::{core::Core, evidence::AnswerBeginning},
     baobab_client::{Connection, is_closed_by_server},
     baobab_place::{Server, ServerOutcome},
     bytes::Bytes,
     hyper::body::{Body, Incoming},
     std::{
+        future::Future,
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
@@ -24,6 +25,9 @@
     load_guard: Option<LoadGuard>,
     keep_alive: KeepAlive,
     body_end: BodyEnd,
+    has_ended: bool,
+    /// Finds out whether the server runs on, once the connection's end has ended the body.
+    end_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
     has_data: bool,
     beginning: Option<AnswerBeginning>,
 }
@@ -57,15 +61,22 @@
             load_guard: Some(load_guard),
             keep_alive,
             body_end,
+            has_ended: false,
+            end_check: None,
             has_data: false,
             beginning,
         }
     }
 
-    /// Reads the next data frame. Returns none at the end of a complete response.
+    /// Reads the next data frame. Returns none at the end of the body; [`Self::poll_end`] tells whether it
+    /// is complete.
     pub fn poll_data(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, String>>> {
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
         loop {
             let Some(frame) = ready!(Pin::new(&mut self.body).poll_frame(context)) else {
+                self.has_ended = true;
                 return Poll::Ready(None);
             };
             match frame {
@@ -87,6 +98,35 @@
         }
     }
 
+    /// Waits until it is known whether a body that has ended is complete. One that ends with its connection
+    /// is, if its server runs on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the server has ended as well, which closes its connections.
+    pub fn poll_end(&mut self, context: &mut Context) -> Poll<Result<(), String>> {
+        let Some(load_guard) = &self.load_guard else {
+            return Poll::Ready(Ok(()));
+        };
+        if self.body_end == BodyEnd::Declared {
+            return Poll::Ready(Ok(()));
+        }
+        let server = &load_guard.server;
+        if self.connection.take().is_some() {
+            self.core.pool.discard(server.key);
+        }
+        let end_check = self.end_check.get_or_insert_with(|| {
+            let core = Rc::clone(&self.core);
+            let limits = load_guard.limits;
+            Box::pin(runs_on(core, server.clone(), limits, self.keep_alive))
+        });
+        if ready!(end_check.as_mut().poll(context)) {
+            return Poll::Ready(Ok(()));
+        }
+        self.on_broken();
+        Poll::Ready(Err("the server ended with its response".to_owned()))
+    }
+
     /// Returns what ends the body.
     #[must_use]
     pub fn body_end(&self) -> BodyEnd {
@@ -138,7 +178,8 @@
                 (KeepAlive::Reuse(timeout), Some(connection)) if is_reusable => {
                     self.core.pool.put(server, connection, timeout, max_idle);
                 }
-                _ => self.core.pool.discard(server),
+                (_, Some(_)) => self.core.pool.discard(server),
+                (_, None) => {}
             }
             load_guard.finish(outcome);
         }
@@ -163,7 +204,9 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
-        if let Some(load_guard) = self.load_guard.take() {
+        if let Some(load_guard) = self.load_guard.take()
+            && self.connection.is_some()
+        {
             self.core.pool.discard(load_guard.server.key);
         }
     }
--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards a request to a backend server and its response to the caller.
 
+mod active_connection;
 mod admission;
 mod attempt;
 mod attempts;
@@ -7,6 +8,7 @@
 mod broken_stream;
 mod counted_send;
 mod dispatch;
+mod end_check;
 mod events;
 mod exchange;
 mod headers;
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -4,6 +4,7 @@
     super::{
         admission::place,
         attempts::Attempts,
+        body_end::BodyEnd,
         broken_stream::BrokenStream,
         dispatch::{dispatch, may_resume},
         events::{EventSplitter, MAX_EVENT_BYTES},
@@ -23,7 +24,7 @@
     std::{
         pin::Pin,
         rc::Rc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::time::{Instant, Sleep, sleep, sleep_until},
@@ -138,22 +139,41 @@
                     }
                 }
                 Poll::Ready(Some(Err(reason))) => return self.on_read_error(context, reason),
-                Poll::Ready(None) if self.is_at_boundary() => {
-                    self.log_end();
-                    self.finish(ServerOutcome::Success);
-                    return Poll::Ready(None);
-                }
-                Poll::Ready(None) => {
-                    if let State::Reading(exchange) = &mut self.state {
-                        exchange.on_broken();
-                    }
-                    return self
-                        .on_read_error(context, "the response ended within an event".to_owned());
-                }
+                Poll::Ready(None) => return self.poll_end(context),
             }
         }
     }
 
+    /// Ends the stream once its server's response has ended, or goes on elsewhere if that is not complete.
+    fn poll_end(
+        &mut self,
+        context: &mut Context,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
+        let (is_at_boundary, has_begun) = (self.is_at_boundary(), self.has_begun());
+        let State::Reading(exchange) = &mut self.state else {
+            return Poll::Pending;
+        };
+        let reason = if !is_at_boundary {
+            exchange.on_broken();
+            "the response ended within an event".to_owned()
+        } else if !has_begun && exchange.body_end() == BodyEnd::ConnectionEnd {
+            exchange.on_broken();
+            "the response ended before its first event".to_owned()
+        } else if let Err(reason) = ready!(exchange.poll_end(context)) {
+            reason
+        } else {
+            self.log_end();
+            self.finish(ServerOutcome::Success);
+            return Poll::Ready(None);
+        };
+        self.on_read_error(context, reason)
+    }
+
+    /// Whether the caller has had an event of the stream, also from an earlier request.
+    fn has_begun(&self) -> bool {
+        self.timing.has_data() || self.job.take_up.is_some()
+    }
+
     /// Looks for another server while the present one is silent, and returns ready if it took over
     /// or the search ended.
     fn poll_standby(&mut self, context: &mut Context) -> Poll<()> {
--- a/crates/relay/src/forward/stream_timing.rs
+++ b/crates/relay/src/forward/stream_timing.rs
@@ -13,6 +13,12 @@
 }
 
 impl StreamTiming {
+    /// Whether any data has arrived.
+    #[must_use]
+    pub fn has_data(&self) -> bool {
+        self.last_at.is_some()
+    }
+
     /// Records an arrival of data.
     pub fn on_data(&mut self, arrived: Instant) {
         let now = Instant::now();
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -119,6 +119,18 @@
         connections.idle.pop().map(|idle| idle.connection)
     }
 
+    /// Whether a connection to the server is idle and still open that was opened before `before`.
+    pub fn has_idle(&self, server: ServerKey, before: Instant) -> bool {
+        self.servers
+            .borrow()
+            .get(&server)
+            .is_some_and(|connections| {
+                connections.idle.iter().any(|idle| {
+                    idle.connection.opened_at() < before && !idle.connection.is_closed()
+                })
+            })
+    }
+
     /// Records that the server closed a connection that was taken after it had been idle for
     /// `idle_for`, before it began to respond. Returns whether its idle timeout explains that.
     pub fn on_closed_in_use(&self, server: ServerKey, idle_for: Duration) -> bool {
