--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -14,6 +14,7 @@
         task::{Context, Poll, ready},
         time::Duration,
     },
+    tokio::time::Instant,
 };
 
 /// The body of a response. Dropping it before its end closes the connection, which makes the server
@@ -25,6 +26,7 @@
     load_guard: Option<LoadGuard>,
     keep_alive: KeepAlive,
     body_end: BodyEnd,
+    began_at: Instant,
     has_ended: bool,
     /// Finds out whether the server runs on, once the connection's end has ended the body.
     end_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
@@ -61,6 +63,7 @@
             load_guard: Some(load_guard),
             keep_alive,
             body_end,
+            began_at: Instant::now(),
             has_ended: false,
             end_check: None,
             has_data: false,
@@ -117,8 +120,13 @@
         }
         let end_check = self.end_check.get_or_insert_with(|| {
             let core = Rc::clone(&self.core);
-            let limits = load_guard.limits;
-            Box::pin(runs_on(core, server.clone(), limits, self.keep_alive))
+            Box::pin(runs_on(
+                core,
+                server.clone(),
+                load_guard.limits,
+                self.keep_alive,
+                self.began_at,
+            ))
         });
         if ready!(end_check.as_mut().poll(context)) {
             return Poll::Ready(Ok(()));
--- a/crates/relay/src/overload.rs
+++ b/crates/relay/src/overload.rs
@@ -20,16 +20,25 @@
 /// Minimum duration of an overload, so that readiness does not change with each health check.
 const MIN_OVERLOAD_TIME: Duration = Duration::from_secs(3);
 
+/// Minimum delay of a timer that shows that the process has stood still: long enough for a backend server
+/// to end and start again.
+const MIN_PAUSE: Duration = Duration::from_millis(300);
+
 /// Detects overload by how late timers fire.
 #[derive(Debug, Default)]
 pub struct Overload {
     mean_delay: Duration,
     overloaded_since: Option<Duration>,
+    /// When the process stood still last.
+    paused_until: Option<Duration>,
 }
 
 impl Overload {
     /// Records how late a timer fired. Returns whether an overload has begun or ended.
     pub fn on_delay(&mut self, delay: Duration, now: Duration) -> bool {
+        if delay >= MIN_PAUSE {
+            self.paused_until = Some(now);
+        }
         self.mean_delay =
             self.mean_delay.mul_f64(1.0 - NEWEST_WEIGHT) + delay.mul_f64(NEWEST_WEIGHT);
         match self.overloaded_since {
@@ -48,6 +57,12 @@
         }
     }
 
+    /// Whether the process has stood still until a moment after `since`.
+    #[must_use]
+    pub fn has_paused_since(&self, since: Duration) -> bool {
+        self.paused_until.is_some_and(|until| until >= since)
+    }
+
     /// Returns the moving average of the timer delays.
     #[must_use]
     pub fn mean_delay(&self) -> Duration {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -62,6 +62,8 @@
     idle: Vec<IdleConnection>,
     open: usize,
     idle_timeout: ObservedIdleTimeout,
+    /// When the server closed an idle connection last for another reason than its idle timeout.
+    lost_at: Option<Instant>,
 }
 
 impl ServerConnections {
@@ -83,6 +85,9 @@
             !is_closed && !is_expired
         });
         self.open -= before - self.idle.len();
+        if has_unexplained {
+            self.lost_at = Some(now);
+        }
         has_unexplained
     }
 }
@@ -131,6 +136,19 @@
             })
     }
 
+    /// Whether the server has closed an idle connection since `since`, as a server that ends.
+    pub fn has_lost_idle(&self, server: ServerKey, since: Instant) -> bool {
+        let is_since = |at: Option<Instant>| at.is_some_and(|at| at >= since);
+        self.servers
+            .borrow()
+            .get(&server)
+            .is_some_and(|connections| {
+                let mut idle = connections.idle.iter();
+                is_since(connections.lost_at)
+                    || idle.any(|idle| is_since(idle.connection.closed_at()))
+            })
+    }
+
     /// Records that the server closed a connection that was taken after it had been idle for
     /// `idle_for`, before it began to respond. Returns whether its idle timeout explains that.
     pub fn on_closed_in_use(&self, server: ServerKey, idle_for: Duration) -> bool {
