--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -81,6 +81,7 @@
         is_late: timeout < route.timeout.mul_f64(FIRST_ATTEMPT_TIMEOUT_FRACTION),
         take_up: request_headers.take_up.map(|take_up| TakenUpStream {
             key: take_up.begun_by.as_deref().map(request_key),
+            last_event: take_up.last_event,
         }),
         version: OnceCell::new(),
         seed: core.random_number(),
--- a/crates/relay/src/forward/events.rs
+++ b/crates/relay/src/forward/events.rs
@@ -16,6 +16,15 @@
 }
 
 impl EventSplitter {
+    /// Creates a splitter of a stream whose caller has the events up to `last_id`.
+    #[must_use]
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self {
+            last_id,
+            ..Self::default()
+        }
+    }
+
     /// Appends data and returns the events that it completes.
     pub fn push(&mut self, data: &[u8]) -> Bytes {
         self.partial.extend_from_slice(data);
@@ -39,7 +48,7 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
-    /// Returns the id of the last event returned by [`Self::push`].
+    /// Returns the id of the last event that the caller has.
     #[must_use]
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/relay/src/forward/job.rs
+++ b/crates/relay/src/forward/job.rs
@@ -40,6 +40,8 @@
 pub struct TakenUpStream {
     /// Key of the stream, if the caller names the request that began it.
     pub key: Option<StreamKey>,
+    /// Id of the last event that the caller has.
+    pub last_event: Option<u64>,
 }
 
 /// An admitted request of a caller, with its route and deadline.
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -83,6 +83,7 @@
         if !is_resumable {
             job.drop_body();
         }
+        let last_of_caller = job.take_up.and_then(|stream| stream.last_event);
         let first_timeout = MIN_SILENCE_TIMEOUT.max(job.route.objective * 2);
         Self {
             core: Rc::clone(core),
@@ -92,7 +93,7 @@
             state: State::Reading(exchange),
             standby: None,
             early_data: None,
-            splitter: is_resumable.then(EventSplitter::default),
+            splitter: is_resumable.then(|| EventSplitter::after(last_of_caller)),
             is_pinned: false,
             last_bytes: [b'\n'; 2],
             event_bytes: 0,
--- a/crates/relay/src/header_codec.rs
+++ b/crates/relay/src/header_codec.rs
@@ -43,6 +43,8 @@
 pub struct TakeUp {
     /// Id of the request that brought the stream's first event, if the caller names it.
     pub begun_by: Option<String>,
+    /// Id of the last event that the caller has received, if it is a number.
+    pub last_event: Option<u64>,
 }
 
 /// Headers that the router adds to a forwarded request.
