--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -1,6 +1,6 @@
 //! Requests whose answers broke when a backend server crashed.
 
-use baobab_unit::WorkspaceId;
+use {baobab_unit::WorkspaceId, std::time::Duration};
 
 /// Identity of a prompt part, the same on every router.
 pub type PartId = u64;
@@ -28,4 +28,7 @@
     /// Key of what the request asks, if it may come again; counts as a part that only such requests
     /// share.
     pub content: Option<PartId>,
+    /// Time from the last answer that the router had from the server when it sent the request until the
+    /// crash; none if it had none.
+    pub since_answer: Option<Duration>,
 }
--- a/crates/quarantine/src/span.rs
+++ b/crates/quarantine/src/span.rs
@@ -6,6 +6,9 @@
 const CRASH_WINDOW: Duration = Duration::from_secs(2);
 /// Time within which crashes of several servers count as one.
 const MIN_SPACING: Duration = Duration::from_millis(100);
+/// Time after a crash from which an answer shows that the server is back. Answers may be on their way when
+/// it crashes, and reports take time to arrive.
+const MIN_DOWNTIME: Duration = Duration::from_millis(500);
 
 /// First and last observation of a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,6 +31,11 @@
         self.first <= other.last + CRASH_WINDOW && other.first <= self.last + CRASH_WINDOW
     }
 
+    /// Returns whether a server that answered at `answered_at` was back from the crash.
+    pub(crate) fn is_over_at(self, answered_at: Duration) -> bool {
+        answered_at >= self.first + MIN_DOWNTIME
+    }
+
     /// Returns the span of all observations in both.
     pub(crate) fn union(self, other: Self) -> Self {
         Self {
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -26,6 +26,8 @@
     workspace: WorkspaceId,
     parts: Arc<[PartId]>,
     content: Option<PartId>,
+    /// Time of the server's last answer when it got the request.
+    answered_at: Option<Duration>,
 }
 
 impl Candidate {
@@ -38,6 +40,7 @@
             workspace: crash.workspace,
             parts: parts.into_iter().collect(),
             content: crash.content,
+            answered_at: crash.since_answer.map(|since| at.saturating_sub(since)),
         }
     }
 
@@ -63,6 +66,18 @@
     fn is_same(&self, other: &Self) -> bool {
         self.request == other.request && self.crash().is_same(other.crash())
     }
+
+    /// Returns whether the server was back from a crash when it got the request.
+    fn is_after(&self, crash: ServerCrash) -> bool {
+        self.answered_at
+            .is_some_and(|answered_at| crash.span.is_over_at(answered_at))
+    }
+
+    /// Adds another observation of the same request in the same crash.
+    fn merge(&mut self, other: &Self) {
+        self.span = self.span.union(other.span);
+        self.answered_at = self.answered_at.min(other.answered_at);
+    }
 }
 
 /// Candidates that hold one part, since it was last known to be sound.
@@ -72,10 +87,10 @@
 impl Suspect {
     /// Adds a candidate. One that is known already counts once.
     pub(crate) fn insert(&mut self, mut candidate: Candidate) {
-        candidate.span = self
-            .0
-            .extract_if(.., |known| known.is_same(&candidate))
-            .fold(candidate.span, |union, known| union.union(known.span));
+        let observed = candidate.clone();
+        for known in self.0.extract_if(.., |known| known.is_same(&observed)) {
+            candidate.merge(&known);
+        }
         self.0.push(candidate);
         self.trim();
     }
@@ -108,7 +123,7 @@
 
     /// Returns what the evidence amounts to, compared with all crashes.
     pub(crate) fn findings(&self, log: &CrashLog) -> Findings {
-        let crashes = self.crashes();
+        let (crashes, returns) = self.crashes();
         let first = crashes
             .first()
             .map_or(Duration::MAX, |crash| crash.span.first);
@@ -125,7 +140,7 @@
         };
         Findings {
             crashes: crash_count,
-            all_crashes: log.count_since(first),
+            all_crashes: log.count_since(first) + returns,
             servers: servers.len(),
             requests: requests.len(),
             workspaces: bounded(self.0.iter().map(|candidate| candidate.workspace)),
@@ -153,33 +168,45 @@
         first.parts.iter().filter(is_common).copied().collect()
     }
 
-    /// Returns the crashes, the oldest first.
-    fn crashes(&self) -> Vec<ServerCrash> {
-        let mut observed: Vec<ServerCrash> = self.0.iter().map(Candidate::crash).collect();
-        observed.sort_unstable();
+    /// Returns the crashes, the oldest first, and how many of them only an answer in between shows to be
+    /// others than the one before.
+    fn crashes(&self) -> (Vec<ServerCrash>, usize) {
+        let mut observed: Vec<&Candidate> = self.0.iter().collect();
+        observed.sort_unstable_by_key(|candidate| (candidate.crash(), candidate.request));
         let mut crashes: Vec<ServerCrash> = Vec::new();
-        for crash in observed {
-            let union = crashes
-                .extract_if(.., |known| known.is_same(crash))
-                .fold(crash, ServerCrash::union);
-            crashes.push(union);
+        let mut returns = 0;
+        for candidate in observed {
+            let crash = candidate.crash();
+            let last = crashes
+                .iter_mut()
+                .rfind(|known| known.server == crash.server);
+            match last {
+                Some(last) if last.is_same(crash) && !candidate.is_after(*last) => {
+                    *last = last.union(crash);
+                }
+                last => {
+                    returns += usize::from(last.is_some_and(|last| last.is_same(crash)));
+                    crashes.push(crash);
+                }
+            }
         }
-        crashes.sort_unstable();
-        crashes
+        (crashes, returns)
     }
 
     fn trim(&mut self) {
         if self.0.len() <= MAX_CRASHES.min(MAX_CANDIDATES) {
             return;
         }
-        let crashes = self.crashes();
+        let (crashes, _) = self.crashes();
         let kept = &crashes[crashes.len().saturating_sub(MAX_CRASHES)..];
         let mut counts = [0; MAX_CRASHES];
         self.0
             .sort_by_key(|candidate| (candidate.span, candidate.request));
         self.0.retain(|candidate| {
             let crash = candidate.crash();
-            let index = kept.iter().position(|known| known.is_same(crash));
+            let index = kept.iter().rposition(|known| {
+                known.server == crash.server && known.span.first <= crash.span.first
+            });
             index.is_some_and(|index| {
                 counts[index] += 1;
                 counts[index] <= MAX_CANDIDATES
--- a/crates/quarantine/tests/content.rs
+++ b/crates/quarantine/tests/content.rs
@@ -79,6 +79,166 @@
     }
 }
 
+/// Server, request and time in ms of a crash, and time in ms of the server's last answer when it got the
+/// request.
+type Observed = (u32, u64, u64, Option<u64>);
+
+fn quarantine_of(observed: &[Observed]) -> Quarantine {
+    let mut quarantine = Quarantine::new();
+    for &(server, request, at_ms, answered_at_ms) in observed {
+        let crash = Crash {
+            since_answer: answered_at_ms.map(|answered| ms(at_ms - answered)),
+            ..crash(server, request, DEADLY)
+        };
+        quarantine.on_crash(&crash, ms(at_ms), ms(at_ms));
+    }
+    quarantine
+}
+
+#[test]
+fn crashes_of_servers_that_answer_in_between_are_not_taken_for_one() {
+    let cases: [(&str, &[Observed]); 4] = [
+        (
+            "two servers, each request at both",
+            &[
+                (1, 1, 0, None),
+                (2, 1, 1, None),
+                (1, 2, 700, Some(690)),
+                (2, 2, 701, Some(690)),
+            ],
+        ),
+        (
+            "one server",
+            &[
+                (1, 1, 0, None),
+                (1, 2, 600, Some(590)),
+                (1, 3, 1200, Some(1190)),
+            ],
+        ),
+        (
+            "two servers, requests in quick succession",
+            &[
+                (1, 1, 0, None),
+                (2, 2, 120, Some(110)),
+                (1, 3, 240, Some(230)),
+                (2, 4, 360, Some(350)),
+                (1, 5, 480, Some(470)),
+                (2, 6, 600, Some(590)),
+                (1, 7, 720, Some(710)),
+            ],
+        ),
+        (
+            "answers that only one router had",
+            &[
+                (1, 1, 0, None),
+                (2, 2, 120, None),
+                (1, 3, 240, None),
+                (2, 4, 360, None),
+                (1, 5, 480, None),
+                (2, 6, 600, None),
+                (1, 7, 720, Some(700)),
+            ],
+        ),
+    ];
+    for (name, observed) in cases {
+        for reversed in [false, true] {
+            let mut observed = observed.to_vec();
+            if reversed {
+                observed.reverse();
+            }
+            let mut quarantine = quarantine_of(&observed);
+            assert!(
+                is_held(&mut quarantine, DEADLY, ms(1300)),
+                "{name}, {reversed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn observations_of_one_crash_stay_one_whatever_was_answered_before() {
+    let cases: [(&str, &[Observed]); 5] = [
+        (
+            "requests that were sent before the crash and noticed late",
+            &[
+                (1, 1, 1000, Some(990)),
+                (1, 2, 1400, Some(990)),
+                (1, 3, 2900, Some(995)),
+            ],
+        ),
+        (
+            "two servers at once, seen by several routers",
+            &[
+                (1, 1, 1000, Some(990)),
+                (2, 2, 1005, Some(999)),
+                (1, 3, 1300, Some(999)),
+                (2, 4, 1700, Some(999)),
+            ],
+        ),
+        (
+            "answers that were on their way when the server crashed",
+            &[
+                (1, 1, 1000, Some(990)),
+                (1, 2, 1450, Some(1400)),
+                (1, 3, 1499, Some(1490)),
+            ],
+        ),
+        (
+            "a report that arrives again, late",
+            &[
+                (1, 1, 1000, Some(900)),
+                (2, 2, 1000, Some(900)),
+                (2, 2, 2600, Some(2500)),
+            ],
+        ),
+        (
+            "one request that is retried",
+            &[
+                (1, 1, 1000, None),
+                (1, 1, 1700, Some(1690)),
+                (1, 1, 2400, Some(2390)),
+            ],
+        ),
+    ];
+    for (name, observed) in cases {
+        let mut quarantine = quarantine_of(observed);
+        assert!(!is_held(&mut quarantine, DEADLY, ms(3000)), "{name}");
+    }
+}
+
+#[test]
+fn a_request_that_breaks_in_an_outage_without_answers_is_served_after_it() {
+    let observed: Vec<Observed> = (0..95)
+        .map(|number| {
+            (
+                1 + u32::try_from(number % 2).unwrap(),
+                number,
+                1000 + 20 * number,
+                Some(980),
+            )
+        })
+        .collect();
+    let mut quarantine = quarantine_of(&observed);
+    assert!(!is_held(&mut quarantine, DEADLY, ms(2910)));
+}
+
+#[test]
+fn a_request_that_is_answered_in_between_is_never_held() {
+    let mut quarantine = Quarantine::new();
+    for number in 0..100 {
+        let at = ms(600 * number);
+        let crash = Crash {
+            since_answer: Some(ms(5)),
+            ..crash(1 + u32::try_from(number % 2).unwrap(), number, DEADLY)
+        };
+        quarantine.on_crash(&crash, at, at);
+        if number % 2 == 1 {
+            quarantine.on_withstood(&[DEADLY], at + ms(20), at + ms(20));
+        }
+        assert!(!is_held(&mut quarantine, DEADLY, at + ms(30)), "{number}");
+    }
+}
+
 #[test]
 fn innocent_requests_that_break_with_a_deadly_one_are_served() {
     let mut quarantine = Quarantine::new();
--- a/crates/quarantine/tests/support/mod.rs
+++ b/crates/quarantine/tests/support/mod.rs
@@ -17,6 +17,7 @@
 pub fn crash(server: ServerKey, request: RequestKey, workspace: u32, parts: &[PartId]) -> Crash {
     Crash {
         content: None,
+        since_answer: None,
         server,
         request,
         workspace,
--- a/crates/relay/src/evidence/beginning.rs
+++ b/crates/relay/src/evidence/beginning.rs
@@ -1,8 +1,12 @@
 //! Whether an answer goes on beyond its beginning.
 
 use {
-    crate::{core::Core, forward::Job},
-    baobab_place::{PartId, ServerKey},
+    super::since,
+    crate::{
+        core::Core,
+        forward::{Job, LoadGuard},
+    },
+    baobab_place::PartId,
     baobab_quarantine::Crash,
     std::time::Duration,
     tokio::time::Instant,
@@ -16,6 +20,7 @@
 #[derive(Debug)]
 pub struct AnswerBeginning {
     crash: Crash,
+    answered_at: Option<Duration>,
     suspect_parts: Vec<PartId>,
     first_data_at: Option<Instant>,
 }
@@ -23,15 +28,17 @@
 impl AnswerBeginning {
     /// Watches an answer to a request.
     #[must_use]
-    pub fn of(job: &Job, server: ServerKey) -> Self {
+    pub fn of(job: &Job, load_guard: &LoadGuard) -> Self {
         Self {
             crash: Crash {
-                server,
+                server: load_guard.server.key,
                 request: job.key,
                 workspace: job.workspace(),
                 parts: job.shared_parts(),
                 content: Some(job.content_key.get()),
+                since_answer: None,
             },
+            answered_at: load_guard.answered_at,
             suspect_parts: job.suspect_parts(),
             first_data_at: None,
         }
@@ -43,26 +50,32 @@
         let first_data_at = *self.first_data_at.get_or_insert_with(Instant::now);
         let is_over = first_data_at.elapsed() >= BEGINNING_PERIOD;
         if is_over {
-            core.evidence.borrow_mut().on_withstood(
-                &self.suspect_parts,
-                core.random_fraction(),
-                core.now(),
-            );
+            self.record_answer(core);
         }
         is_over
     }
 
     /// Records that the answer is complete.
     pub fn on_complete(self, core: &Core) {
-        core.evidence.borrow_mut().on_withstood(
-            &self.suspect_parts,
-            core.random_fraction(),
-            core.now(),
-        );
+        self.record_answer(core);
     }
 
     /// Records that the server closed the connection in the middle of the answer.
     pub fn on_broken(self, core: &Core) {
-        core.evidence.borrow_mut().on_crash(self.crash, core.now());
+        let now = core.now();
+        let crash = Crash {
+            since_answer: since(self.answered_at, now),
+            ..self.crash
+        };
+        core.evidence.borrow_mut().on_crash(crash, now);
+    }
+
+    fn record_answer(&self, core: &Core) {
+        core.evidence.borrow_mut().on_answer(
+            self.crash.server,
+            &self.suspect_parts,
+            core.random_fraction(),
+            core.now(),
+        );
     }
 }
--- a/crates/relay/src/evidence/mod.rs
+++ b/crates/relay/src/evidence/mod.rs
@@ -6,11 +6,15 @@
 mod outbox;
 
 use {
-    crate::{core::Core, forward::Job, gossip::EvidenceMessage},
+    crate::{
+        core::Core,
+        forward::{Job, LoadGuard},
+        gossip::EvidenceMessage,
+    },
     baobab_place::{PartId, ServerKey},
     baobab_quarantine::{Crash, Decision, Quarantine, Verdict},
-    baobab_unit::WorkspaceId,
-    std::time::Duration,
+    baobab_unit::{WorkspaceId, millis},
+    std::{collections::HashMap, time::Duration},
 };
 
 pub use {beginning::AnswerBeginning, outbox::EvidenceOutbox};
@@ -20,18 +24,26 @@
 const RECORDS_INTERVAL: Duration = Duration::from_secs(1);
 /// Routers of a fleet that tell them in each interval; in larger fleets each does so less often.
 const RECORD_SENDERS: u32 = 6;
+/// Time for which the last answer of a server is remembered; as long as evidence is kept.
+const ANSWER_LIFETIME: Duration = Duration::from_mins(2);
 
 /// Records that a server closed the connection before it began to answer a request. Until then, nothing
 /// but the request itself is suspected: all requests that wait at an engine break with it.
-pub fn on_closed(core: &Core, job: &Job, server: ServerKey) {
+pub fn on_closed(core: &Core, job: &Job, load_guard: &LoadGuard) {
+    let now = core.now();
     let crash = Crash {
-        server,
+        server: load_guard.server.key,
         request: job.key,
         workspace: job.workspace(),
         parts: Vec::new(),
         content: Some(job.content_key.get()),
+        since_answer: since(load_guard.answered_at, now),
     };
-    core.evidence.borrow_mut().on_crash(crash, core.now());
+    core.evidence.borrow_mut().on_crash(crash, now);
+}
+
+fn since(answered_at: Option<Duration>, now: Duration) -> Option<Duration> {
+    answered_at.map(|at| now.saturating_sub(at))
 }
 
 /// The quarantine of this router, and its reports to the others.
@@ -39,6 +51,7 @@
 pub struct Evidence {
     quarantine: Quarantine,
     outbox: EvidenceOutbox,
+    answers: HashMap<ServerKey, Duration>,
     records_due_at: Duration,
 }
 
@@ -50,7 +63,8 @@
             request = crash.request,
             workspace = crash.workspace,
             parts:? = crash.parts,
-            content:? = crash.content;
+            content:? = crash.content,
+            since_answer_ms:? = crash.since_answer.map(millis);
             "server closed the connection of a request"
         );
         let decisions = self.quarantine.on_crash(&crash, now, now);
@@ -65,9 +79,22 @@
         self.apply(&decisions, 0.0, now);
     }
 
-    /// Records that an answer to a prompt with these parts went on beyond its beginning.
+    /// Returns the time of a server's last answer.
+    #[must_use]
+    pub fn answered_at(&self, server: ServerKey) -> Option<Duration> {
+        self.answers.get(&server).copied()
+    }
+
+    /// Records that a server's answer to a prompt with these parts went on beyond its beginning.
     /// `random_fraction` in `0.0..1.0` spreads what many routers report.
-    pub fn on_withstood(&mut self, parts: &[PartId], random_fraction: f64, now: Duration) {
+    pub fn on_answer(
+        &mut self,
+        server: ServerKey,
+        parts: &[PartId],
+        random_fraction: f64,
+        now: Duration,
+    ) {
+        self.answers.insert(server, now);
         let decisions = self.quarantine.on_withstood(parts, now, now);
         for decision in &decisions {
             if let Decision::Cleared { part, at, .. } = decision {
@@ -119,6 +146,8 @@
 
     /// Drops old evidence, and ends quarantines.
     pub fn expire(&mut self, now: Duration) {
+        self.answers
+            .retain(|_, at| now.saturating_sub(*at) <= ANSWER_LIFETIME);
         let decisions = self.quarantine.expire(now);
         self.apply(&decisions, 0.0, now);
     }
--- a/crates/relay/src/evidence/outbox.rs
+++ b/crates/relay/src/evidence/outbox.rs
@@ -19,7 +19,7 @@
 /// Bytes of crashes and clearances that fit one datagram.
 const MAX_BYTES: usize = 1000;
 /// Encoded bytes of a crash besides its parts.
-const CRASH_OVERHEAD_BYTES: usize = 35;
+const CRASH_OVERHEAD_BYTES: usize = 39;
 /// Maximum encoded bytes of a prompt part.
 const PART_BYTES: usize = 10;
 /// Maximum encoded bytes of a clearance.
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -100,7 +100,7 @@
         Ok((active, head, body)) => check_response(core, job, load_guard, active, head, body),
         Err(error) => {
             if matches!(error, AttemptError::Closed(_)) {
-                evidence::on_closed(core, job, load_guard.server.key);
+                evidence::on_closed(core, job, &load_guard);
             }
             let outcome = match error {
                 AttemptError::NotSent(_) => ServerOutcome::Unreachable,
@@ -256,7 +256,7 @@
             let beginning = head
                 .status
                 .is_success()
-                .then(|| AnswerBeginning::of(job, load_guard.server.key));
+                .then(|| AnswerBeginning::of(job, &load_guard));
             let exchange = Exchange::new(
                 core, connection, body, load_guard, keep_alive, body_end, beginning,
             );
--- a/crates/relay/src/forward/load_guard.rs
+++ b/crates/relay/src/forward/load_guard.rs
@@ -17,6 +17,8 @@
     pub limits: ConnectionLimits,
     /// Whether the request may be sent although the server has named a limit.
     pub has_permit: bool,
+    /// Time of the last answer of the server when the request was sent.
+    pub answered_at: Option<Duration>,
     load: Load,
     predicted_first_event: Duration,
     sent_at: Instant,
@@ -28,6 +30,7 @@
     #[must_use]
     pub fn acquire(core: &Rc<Core>, placement: Placement, job: &Job) -> Self {
         let now = core.now();
+        let answered_at = core.evidence.borrow().answered_at(placement.server.key);
         let mut placer = core.placer.borrow_mut();
         let load = placer.on_sent(&placement, job.prompt.as_ref(), now);
         let limits = placer.connection_limits(&placement.server, job.max_connections);
@@ -38,6 +41,7 @@
             server: placement.server,
             limits,
             has_permit: placement.has_permit,
+            answered_at,
             load,
             predicted_first_event: placement.predicted_first_event,
             sent_at: Instant::now(),
--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -29,6 +29,7 @@
     dispatch::{ForwardedResponse, dispatch},
     headers::remove_hop_headers,
     job::{Caller, Job, TakenUpStream, key_of},
+    load_guard::LoadGuard,
     problem::{Problem, Reason},
     retry_after::{RefusalCause, retry_after},
     stream::StreamBody,
--- a/crates/relay/src/gossip/evidence_message.rs
+++ b/crates/relay/src/gossip/evidence_message.rs
@@ -60,6 +60,7 @@
     workspace: WorkspaceId,
     parts: Vec<u64>,
     content: Option<u64>,
+    since_answer_ms: Option<u64>,
     age_ms: u64,
 }
 
@@ -108,6 +109,7 @@
             workspace: report.crash.workspace,
             parts: report.crash.parts.clone(),
             content: report.crash.content,
+            since_answer_ms: report.crash.since_answer.map(millis),
             age_ms: millis(report.age),
         }
     }
@@ -122,6 +124,7 @@
                 workspace: wire.workspace,
                 parts: wire.parts,
                 content: wire.content,
+                since_answer: wire.since_answer_ms.map(Duration::from_millis),
             },
             age: Duration::from_millis(wire.age_ms),
         }
--- a/crates/relay/tests/evidence_outbox.rs
+++ b/crates/relay/tests/evidence_outbox.rs
@@ -16,6 +16,7 @@
 fn crash(request: u64, parts: u64) -> Crash {
     Crash {
         content: Some(request),
+        since_answer: Some(ms(120_000)),
         server: u32::MAX,
         request,
         workspace: u32::MAX,
@@ -65,7 +66,7 @@
             .iter()
             .map(|report| report.crash.parts.len())
             .sum();
-        let bytes = 10 * parts + 25 * message.crashes.len() + 15 * message.clearances.len();
+        let bytes = 10 * parts + 39 * message.crashes.len() + 15 * message.clearances.len();
         assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes} bytes");
         crashes += message.crashes.len();
         clearances += message.clearances.len();
