--- a/crates/engine/src/http.rs
+++ b/crates/engine/src/http.rs
@@ -6,6 +6,7 @@
         OrderClient, ServiceClient, StreamEvent, TokenStream, parse_event,
     },
     attohttpc::{ErrorKind, Method, RequestBuilder, Response, ResponseReader},
+    baobab_body::read_whole,
     std::{
         io::{BufRead, BufReader},
         net::SocketAddr,
@@ -102,7 +103,7 @@
             builder = builder.header("Idempotency-Key", key.as_str());
         }
         match builder.bytes(&request.body).send() {
-            Ok(response) => read_response(response),
+            Ok(response) => read_response(response, request.method == "HEAD"),
             Err(error) if is_unsent(&error) => CallOutcome::NotSent,
             Err(_) => CallOutcome::Lost,
         }
@@ -118,7 +119,7 @@
         if !response.is_success() {
             return None;
         }
-        response.text().ok()
+        String::from_utf8(read_whole(response).ok()?).ok()
     }
 
     fn order(&self, address: SocketAddr, order: &EngineOrder) -> bool {
@@ -179,7 +180,7 @@
     Ok(())
 }
 
-fn read_response(response: Response) -> CallOutcome {
+fn read_response(response: Response, is_head: bool) -> CallOutcome {
     let status = response.status().as_u16();
     let content_type = response
         .headers()
@@ -187,7 +188,12 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or("application/octet-stream")
         .to_owned();
-    match response.bytes() {
+    let body = if is_head {
+        Ok(Vec::new())
+    } else {
+        read_whole(response)
+    };
+    match body {
         Ok(body) => CallOutcome::Responded {
             status,
             content_type,
--- a/crates/engine/tests/short_bodies.rs
+++ b/crates/engine/tests/short_bodies.rs
@@ -46,3 +46,36 @@
     let address = serve_once("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nv1.2");
     assert_eq!(HttpBackendClient::default().version(address), None);
 }
+
+/// The other side: whole bodies are passed on, however they are framed.
+#[test]
+fn a_whole_response_is_passed_on() {
+    let cases = [
+        ("GET", "Content-Length: 4\r\n\r\nhalf", "half"),
+        (
+            "GET",
+            "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+            "half",
+        ),
+        ("GET", "\r\nhalf", "half"),
+        ("GET", "Content-Length: 0\r\n\r\n", ""),
+        ("HEAD", "Content-Length: 10\r\n\r\n", ""),
+    ];
+    for (method, rest, expected) in cases {
+        let text = format!("HTTP/1.1 200 OK\r\n{rest}");
+        let address = serve_once(text.leak());
+        let request = CallRequest {
+            method: method.to_owned(),
+            target: "/x".to_owned(),
+            content_type: "text/plain".to_owned(),
+            idempotency_key: None,
+            body: Vec::new(),
+        };
+        match HttpBackendClient::default().call(address, &request) {
+            CallOutcome::Responded { status, body, .. } => {
+                assert_eq!((status, body.as_slice()), (200, expected.as_bytes()));
+            }
+            outcome => panic!("{method} {rest:?}: {outcome:?}"),
+        }
+    }
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -6,6 +6,7 @@
         StoreError, Table, Write,
     },
     attohttpc::{Method, RequestBuilder, Response},
+    baobab_body::read_whole,
     serde::de::DeserializeOwned,
     std::{net::SocketAddr, time::Duration},
 };
@@ -82,8 +83,7 @@
         if response.status().as_u16() == 404 {
             return Ok(None);
         }
-        check_status(response)?
-            .bytes()
+        read_whole(check_status(response)?)
             .map(Some)
             .map_err(reply_lost)
     }
@@ -113,7 +113,7 @@
 }
 
 fn parse_json<T: DeserializeOwned>(response: Response) -> Result<T, StoreError> {
-    let bytes = response.bytes().map_err(reply_lost)?;
+    let bytes = read_whole(response).map_err(reply_lost)?;
     serde_json::from_slice(&bytes).map_err(reply_lost)
 }
 
