--- a/bin/router/tests/support/mod.rs
+++ b/bin/router/tests/support/mod.rs
@@ -12,7 +12,7 @@
         text::{Generator, prompt_with_length},
     },
     baobab_store::{HostEntry, HostState},
-    rustix::process::{Pid, Signal, kill_process},
+    rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit},
     std::{
         fmt::Write,
         net::SocketAddr,
@@ -58,10 +58,18 @@
     }
 
     pub fn signal(&self, signal: Signal) {
+        kill_process(self.pid(), signal).expect("the process is this test's child");
+    }
+
+    /// Sets a limit on the process's resources.
+    pub fn set_limit(&self, resource: Resource, limit: Rlimit) {
+        prlimit(Some(self.pid()), resource, limit).expect("the process is this test's child");
+    }
+
+    fn pid(&self) -> Pid {
         let child = self.child.as_ref().expect("the router runs");
         let id = i32::try_from(child.id()).expect("ids are small");
-        let pid = Pid::from_raw(id).expect("ids are positive");
-        kill_process(pid, signal).expect("the process is this test's child");
+        Pid::from_raw(id).expect("ids are positive")
     }
 
     pub fn kill(&mut self) {
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -139,6 +139,7 @@
             .map_err(|error| thread_error(&error))?;
         spawn_orders(Arc::clone(context)).map_err(|error| thread_error(&error))?;
         spawn_admin(Arc::clone(context))
+            .map(drop)
             .map_err(|error| bind_error("admin", conf.admin_address, &error))
     }
 
