--- a/bin/router/tests/support/mod.rs
+++ b/bin/router/tests/support/mod.rs
@@ -15,6 +15,7 @@
     rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit},
     std::{
         fmt::Write,
+        fs::File,
         net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Stdio},
@@ -27,6 +28,8 @@
 pub const KEY: &str = "key-north";
 /// Default maximum wait for a condition.
 const MAX_WAIT: Duration = Duration::from_mins(1);
+/// Lines of a router's log that are printed if a test fails.
+const MAX_PRINTED_LINES: usize = 200;
 const FLEET_KEY: &str = "5f1d0c2b7a9e4836d1c05b7f92e3a8640b9c7d15e2f84a3690cd17be5a42f3d8";
 
 /// First port of the first site.
@@ -48,10 +51,14 @@
 
 impl RouterProcess {
     pub fn start(&mut self) {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path());
         let child = Command::new(env!("CARGO_BIN_EXE_baobab-router"))
             .args(["--conf".as_ref(), self.conf.as_os_str()])
             .stderr(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.expect("the directory is writable"))
             .spawn()
             .expect("the router starts");
         self.child = Some(child);
@@ -66,6 +73,19 @@
         prlimit(Some(self.pid()), resource, limit).expect("the process is this test's child");
     }
 
+    fn log_path(&self) -> PathBuf {
+        self.conf.with_extension("log")
+    }
+
+    /// Prints what shows why a test has failed.
+    fn print_end(&mut self) {
+        let exit = self.child.as_mut().map(Child::try_wait);
+        let log = std::fs::read_to_string(self.log_path()).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let end = &lines[lines.len().saturating_sub(MAX_PRINTED_LINES)..];
+        println!("{}: {exit:?}\n{}", self.host, end.join("\n"));
+    }
+
     fn pid(&self) -> Pid {
         let child = self.child.as_ref().expect("the router runs");
         let id = i32::try_from(child.id()).expect("ids are small");
@@ -264,6 +284,9 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        if thread::panicking() {
+            self.routers.iter_mut().for_each(RouterProcess::print_end);
+        }
         std::fs::remove_dir_all(&self.directory).ok();
     }
 }
