--- a/crates/unit/src/logs.rs
+++ b/crates/unit/src/logs.rs
@@ -11,7 +11,7 @@
     std::{
         collections::HashMap,
         io::Write,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc},
         thread,
         time::{Duration, Instant},
     },
@@ -19,6 +19,8 @@
 
 /// Time between two writes of the buffer.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum time for which the last lines may take to be written.
+const MAX_FLUSH_TIME: Duration = Duration::from_millis(200);
 /// Maximum size of the buffer; lines that do not fit are dropped.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// Lines below `WARN` written per call site and second; further ones are dropped and counted.
@@ -155,7 +157,19 @@
         .apply();
 }
 
-/// Writes the buffered lines.
+/// Writes the buffered lines. If nobody reads them, the program ends without them.
 pub fn flush_logs() {
-    log::logger().flush();
+    let (sender, is_done) = mpsc::channel();
+    let flush = move || {
+        log::logger().flush();
+        // Nobody waits any more if it took too long.
+        let _ = sender.send(());
+    };
+    if thread::Builder::new()
+        .name("last-logs".to_owned())
+        .spawn(flush)
+        .is_ok()
+    {
+        let _ = is_done.recv_timeout(MAX_FLUSH_TIME);
+    }
 }
