--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -36,6 +36,8 @@
     opened_at: Instant,
     used_at: Instant,
     closed_at: Rc<Cell<Option<Instant>>>,
+    /// When the process at its other end started, in Unix milliseconds, if that process has said so.
+    pub peer_started_unix_ms: Option<u64>,
 }
 
 impl Connection {
@@ -71,6 +73,7 @@
             opened_at: now,
             used_at: now,
             closed_at,
+            peer_started_unix_ms: None,
         })
     }
 
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -84,7 +84,7 @@
             if is_tried || !request.versions.allows(&server.software_version) {
                 continue;
             }
-            match self.unavailability(request, server.key, now) {
+            match self.unavailability(request, server, now) {
                 Some((wait, error)) => {
                     if unavailable.is_none_or(|(min, _)| wait < min) {
                         unavailable = Some((wait, error));
@@ -127,15 +127,18 @@
     fn unavailability(
         &self,
         request: &PlacementRequest,
-        key: ServerKey,
+        server: &Server,
         now: Duration,
     ) -> Option<(Duration, PlacementError)> {
+        let key = server.key;
         if let Some(backoff) = self.backoff(key, now) {
             return Some((backoff, PlacementError::BackingOff(backoff)));
         }
-        // A stream does not go on at a server that may have started again as another version.
+        // A stream does not go on at a server that may have started again as another version, unless that
+        // shows that it has not.
         if matches!(request.versions, VersionBound::Only(_))
             && let Some(left) = self.doubt_left(key, now)
+            && !self.may_ask(server, now)
         {
             return Some((left, PlacementError::Unverified(left)));
         }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod connections;
 mod convert;
+mod doubt;
 mod health;
 mod load;
 mod part_directory;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -4,7 +4,7 @@
     crate::typical_load::TypicalLoad,
     crate::{
         CacheView, ConnectionLimits, Health, Load, Part, Peers, Placement, Prompt, Registry,
-        Server, ServerKey, ServerOutcome, Tuning, convert::fraction_of,
+        Server, ServerKey, ServerOutcome, Tuning, convert::fraction_of, doubt::Doubt,
     },
     baobab_limit::Limits,
     baobab_unit::HostId,
@@ -22,12 +22,6 @@
 const MAX_UNREPORTED_PARTS: usize = 2048;
 /// Maximum time for which a server can ask for no requests.
 const MAX_BACKOFF: Duration = Duration::from_mins(5);
-/// Time within which a server that has started again is announced.
-const ANNOUNCEMENT_LAG: Duration = Duration::from_secs(3);
-/// Time after which a router that has been out of step has read the list of servers again, if it can.
-const RESYNC_TIME: Duration = Duration::from_millis(1200);
-/// Minimum time until it is asked again whether a server has started as another version.
-const MIN_DOUBT: Duration = Duration::from_millis(300);
 /// Bounds of an engine's slowdown: actual over predicted time to first event.
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.5, 8.0);
 
@@ -39,20 +33,20 @@
     pub(crate) slowdown: f64,
     /// Until when the server wants no requests from this router.
     pub(crate) backoff_until: Option<Duration>,
-    /// When a connection to the server failed, since it was announced last.
-    failed_at: Option<Duration>,
+    /// Whether the server may have started again.
+    pub(crate) doubt: Doubt,
     is_changed: bool,
 }
 
 impl ServerState {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             health: Health::default(),
             load: Load::default(),
             cache: CacheView::new(u64::MAX),
             slowdown: 1.0,
             backoff_until: None,
-            failed_at: None,
+            doubt: Doubt::default(),
             is_changed: false,
         }
     }
@@ -70,12 +64,12 @@
     pub(crate) tuning: Tuning,
     pub(crate) states: HashMap<ServerKey, ServerState>,
     unreported_parts: Vec<(ServerKey, Part)>,
-    unreported_losses: BTreeSet<ServerKey>,
+    pub(crate) unreported_losses: BTreeSet<ServerKey>,
     reported_parts: ReportedParts,
     /// Exponentially weighted mean length of the prompts sent.
     pub(crate) mean_prompt_tokens: f64,
     /// When this router was out of step with the fleet last, so that any server may have started again.
-    out_of_step_at: Option<Duration>,
+    pub(crate) out_of_step_at: Option<Duration>,
     /// Routers of the fleet, if known otherwise than by their reports.
     fleet_size: usize,
     /// Mean load of each service's servers by the answers of their owners; empty in a fleet whose
@@ -199,41 +193,12 @@
             return false;
         };
         if outcome == ServerOutcome::Unreachable {
-            state.failed_at = Some(now);
+            state.doubt.on_lost(now);
             self.unreported_losses.insert(key);
         }
         state.health.on_outcome(outcome, now)
     }
 
-    /// Records that a server has closed an idle connection, as if it had ended.
-    pub fn on_connection_lost(&mut self, key: ServerKey, now: Duration) {
-        if let Some(state) = self.states.get_mut(&key) {
-            state.failed_at = Some(now);
-        }
-    }
-
-    /// Records that a server has closed the connection of a request, as if it had ended. The other
-    /// routers are told.
-    pub fn on_request_lost(&mut self, key: ServerKey, now: Duration) {
-        self.on_connection_lost(key, now);
-        self.unreported_losses.insert(key);
-    }
-
-    /// Records that another router has lost the connection of a request to a server.
-    pub fn on_peer_loss(&mut self, key: ServerKey, now: Duration) {
-        if self.registry.get(key).is_some() {
-            let state = self.states.entry(key).or_insert_with(ServerState::new);
-            state.failed_at = Some(now);
-        }
-    }
-
-    /// Removes and returns up to `max` servers to which connections were lost, for the other routers.
-    pub fn take_unreported_losses(&mut self, max: usize) -> Vec<ServerKey> {
-        std::iter::from_fn(|| self.unreported_losses.pop_first())
-            .take(max)
-            .collect()
-    }
-
     /// Records that a server has not answered a request for so long that it counts as a failure,
     /// while the request goes on. Returns whether that ejects the server.
     pub fn on_silence(&mut self, key: ServerKey, now: Duration) -> bool {
@@ -255,7 +220,7 @@
             state.health = Health::default();
             state.slowdown = 1.0;
             state.backoff_until = None;
-            state.failed_at = None;
+            state.doubt.on_announced();
         }
     }
 
@@ -277,35 +242,6 @@
         !is_leaving && self.backoff(key, now).is_none()
     }
 
-    /// Returns whether a server is of this version, and cannot have started again as another one.
-    #[must_use]
-    pub fn is_surely(&self, key: ServerKey, version: &str, now: Duration) -> bool {
-        let server = self.registry.get(key);
-        server.is_some_and(|server| server.software_version == version)
-            && self.doubt_left(key, now).is_none()
-    }
-
-    /// Returns for how long a server may be another version than it has announced, because it may have
-    /// started again. While the list of servers is not current, that does not end.
-    pub(crate) fn doubt_left(&self, key: ServerKey, now: Duration) -> Option<Duration> {
-        let failed_at = self.states.get(&key).and_then(|state| state.failed_at);
-        let until = failed_at
-            .map(|at| at + ANNOUNCEMENT_LAG)
-            .max(self.out_of_step_at.map(|at| at + RESYNC_TIME))?;
-        let left = until.saturating_sub(now);
-        match (left.is_zero(), self.registry.is_current()) {
-            (true, true) => None,
-            (true, false) => Some(MIN_DOUBT),
-            (false, _) => Some(left),
-        }
-    }
-
-    /// Records that this router has stood still or was cut off, and may have missed that servers have
-    /// started again.
-    pub fn on_out_of_step(&mut self, now: Duration) {
-        self.out_of_step_at = Some(now);
-    }
-
     /// Returns how long a server still wants no requests from this router, if it does.
     #[must_use]
     pub fn backoff(&self, key: ServerKey, now: Duration) -> Option<Duration> {
--- a/crates/relay/src/forward/active_connection.rs
+++ b/crates/relay/src/forward/active_connection.rs
@@ -52,6 +52,21 @@
         }
     }
 
+    /// Returns when the run of the server at its other end started, in Unix milliseconds, if it has said so.
+    #[must_use]
+    pub fn run(&self) -> Option<u64> {
+        self.connection
+            .as_ref()
+            .and_then(|connection| connection.peer_started_unix_ms)
+    }
+
+    /// Records when the run of the server at its other end started.
+    pub fn set_run(&mut self, started_unix_ms: u64) {
+        if let Some(connection) = &mut self.connection {
+            connection.peer_started_unix_ms = Some(started_unix_ms);
+        }
+    }
+
     /// Whether either side has closed the connection.
     #[must_use]
     pub fn is_closed(&self) -> bool {
--- a/crates/relay/src/forward/attempt.rs
+++ b/crates/relay/src/forward/attempt.rs
@@ -9,6 +9,7 @@
         headers::remove_hop_headers,
         job::Job,
         load_guard::LoadGuard,
+        run_check::{RunCheck, check_run},
     },
     crate::{
         core::Core,
@@ -135,7 +136,14 @@
             None => open(core, load_guard).await?,
         };
         let mut active = ActiveConnection::new(core, server.key, connection, was_idle);
-        if !is_accepted(core, job, load_guard) {
+        let run_check = check_if_due(core, job, load_guard, &mut active).await?;
+        if run_check == RunCheck::Failed {
+            if was_idle {
+                continue;
+            }
+            active = ActiveConnection::new(core, server.key, open(core, load_guard).await?, false);
+        }
+        if !is_accepted(core, job, load_guard, run_check) {
             return Err(AttemptError::Unavailable);
         }
         let request = build_request(core, job, load_guard, fetch_from, resume_after);
@@ -173,13 +181,48 @@
     }
 }
 
+/// Finds out whether the announced run of the chosen server is at the other end of the connection: if a
+/// stream is to go on there, or to begin while that is in doubt.
+async fn check_if_due(
+    core: &Core,
+    job: &Job,
+    load_guard: &LoadGuard,
+    active: &mut ActiveConnection,
+) -> Result<RunCheck, AttemptError> {
+    let server = &load_guard.server;
+    let is_resumable = job.route.retry_safety == RetrySafety::ResumableStream;
+    let is_to_be_asked = || {
+        let placer = core.placer.borrow();
+        placer.is_to_be_asked(server.key, core.now())
+    };
+    let is_due = job.version.get().is_some() || active.run().is_some() || is_to_be_asked();
+    if !is_resumable || !is_due {
+        return Ok(RunCheck::Unknown);
+    }
+    let asked_at = core.now();
+    let run_check = check_run(core, server, active).await;
+    let mut placer = core.placer.borrow_mut();
+    match run_check {
+        RunCheck::Announced => placer.on_run_shown(server.key, asked_at),
+        RunCheck::Other => {
+            placer.on_other_run(server.key, core.now());
+            return Err(AttemptError::Unavailable);
+        }
+        RunCheck::Unknown | RunCheck::Failed => placer.on_run_not_shown(server.key, core.now()),
+    }
+    Ok(run_check)
+}
+
 /// Whether the chosen server may still get the request.
-fn is_accepted(core: &Core, job: &Job, load_guard: &LoadGuard) -> bool {
+fn is_accepted(core: &Core, job: &Job, load_guard: &LoadGuard, run_check: RunCheck) -> bool {
     let placer = core.placer.borrow();
     let server = load_guard.server.key;
     let now = core.now();
     let is_version_sure = job.version.get().is_none_or(|version| {
-        placer.is_surely(server, version, now) && !streams::is_doubtful(core, job.stream_key())
+        let is_of_version = load_guard.server.software_version == *version;
+        let is_sure = is_of_version && run_check == RunCheck::Announced;
+        (is_sure || placer.is_surely(server, version, now))
+            && !streams::is_doubtful(core, job.stream_key())
     });
     is_version_sure
         && placer.accepts(server, now)
--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -16,6 +16,7 @@
 mod load_guard;
 mod problem;
 mod retry_after;
+mod run_check;
 mod standby;
 mod stream;
 mod stream_kind;
--- a/crates/relay/src/header_codec.rs
+++ b/crates/relay/src/header_codec.rs
@@ -1,9 +1,10 @@
-//! Interface to the deployment's headers, so that the router does not depend on their names.
+//! Interface to the deployment's headers and servers' reports, so that the router does not depend on their
+//! names.
 
 use {
     baobab_limit::LimitPerS,
     baobab_place::{Prompt, ServerId},
-    http::{HeaderMap, response},
+    http::{HeaderMap, Uri, response},
     quick_error::quick_error,
     std::{net::SocketAddr, time::Duration},
 };
@@ -96,7 +97,7 @@
     pub limit: LimitNotice,
 }
 
-/// Reads and writes the headers of one deployment.
+/// Reads and writes the headers of one deployment, and reads its servers' reports.
 pub trait HeaderCodec {
     /// Reads a caller's headers.
     ///
@@ -122,4 +123,10 @@
 
     /// Reads what the server says of itself in the head of a response.
     fn decode_notices(&self, response: &response::Parts) -> ServerNotices;
+
+    /// Returns where a server reports on itself.
+    fn report_uri(&self) -> Uri;
+
+    /// Reads when a server started, in Unix milliseconds, from its report on itself, if that says so.
+    fn decode_report(&self, body: &[u8]) -> Option<u64>;
 }
