--- a/crates/place/src/doubt.rs
+++ b/crates/place/src/doubt.rs
@@ -23,6 +23,8 @@
     shown_at: Option<Duration>,
     /// When it was asked last and has not.
     not_shown_at: Option<Duration>,
+    /// Whether it has been announced as another run, and not been asked since.
+    is_newly_announced: bool,
 }
 
 impl Doubt {
@@ -33,7 +35,10 @@
 
     /// Records that it is announced as another run.
     pub(crate) fn on_announced(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            is_newly_announced: true,
+            ..Self::default()
+        };
     }
 
     /// Whether `at` is a reason that it has not refuted.
@@ -71,17 +76,24 @@
             .collect()
     }
 
+    /// Records that a server is announced as another run.
+    pub fn on_other_run_announced(&mut self, key: ServerKey) {
+        self.doubt_mut(key).on_announced();
+    }
+
     /// Records that a server has shown, asked at `asked_at`, that it is the run that was announced.
     pub fn on_run_shown(&mut self, key: ServerKey, asked_at: Duration) {
         let doubt = self.doubt_mut(key);
         doubt.shown_at = doubt.shown_at.max(Some(asked_at));
         doubt.not_shown_at = None;
+        doubt.is_newly_announced = false;
     }
 
     /// Records that a server was asked and has not shown that it is the run that was announced.
     pub fn on_run_not_shown(&mut self, key: ServerKey, now: Duration) {
         let doubt = self.doubt_mut(key);
         doubt.not_shown_at = Some(now);
+        doubt.is_newly_announced = false;
     }
 
     /// Records that a server has shown that it is another run than was announced. The other routers are told.
@@ -89,6 +101,7 @@
         let doubt = self.doubt_mut(key);
         doubt.latest_reason = Some(now);
         doubt.not_shown_at = Some(now);
+        doubt.is_newly_announced = false;
         self.unreported_losses.insert(key);
     }
 
@@ -100,10 +113,13 @@
             && self.doubt_left(key, now).is_none()
     }
 
-    /// Whether a server is to be asked which run it is before a stream begins there.
+    /// Whether a server is to be asked which run it is before a stream begins there. An announcement may be
+    /// older than the run, as in a store that comes back.
     #[must_use]
     pub fn is_to_be_asked(&self, key: ServerKey, now: Duration) -> bool {
-        self.doubt_left(key, now).is_some()
+        let state = self.states.get(&key);
+        state.is_some_and(|state| state.doubt.is_newly_announced)
+            || self.doubt_left(key, now).is_some()
     }
 
     /// Records that this router has stood still or was cut off, and may have missed that servers have
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -215,12 +215,12 @@
 
     /// Resets the cache, health and slowdown of a restarted server; its load stays.
     pub fn on_server_restarted(&mut self, key: ServerKey) {
+        self.on_other_run_announced(key);
         if let Some(state) = self.states.get_mut(&key) {
             state.cache.clear();
             state.health = Health::default();
             state.slowdown = 1.0;
             state.backoff_until = None;
-            state.doubt.on_announced();
         }
     }
 
--- a/crates/place/tests/doubt.rs
+++ b/crates/place/tests/doubt.rs
@@ -20,6 +20,7 @@
     NotShown(u64),
     Other(u64),
     Announced,
+    Listed,
 }
 
 /// What becomes of a stream that is taken up.
@@ -63,6 +64,7 @@
         Event::NotShown(at) => placer.on_run_not_shown(KEY, ms(at)),
         Event::Other(at) => placer.on_other_run(KEY, ms(at)),
         Event::Announced => placer.on_server_restarted(KEY),
+        Event::Listed => placer.on_other_run_announced(KEY),
     }
 }
 
@@ -94,7 +96,7 @@
 /// Guards against doubts that last although the server shows that it runs on, and against doubts that end
 /// although it does not.
 #[test]
-fn a_doubt_ends_when_the_server_shows_its_run_or_is_announced_again() {
+fn a_doubt_ends_when_the_server_shows_its_run_and_not_by_an_announcement() {
     use {Decision::*, Event::*};
     for (events, at_ms, expected) in [
         (&[][..], 0, GoesOn),
@@ -117,8 +119,16 @@
         (&[Lost(1000), NotShown(1001)], 4000, GoesOn),
         (&[Other(1000)], 1001, Refused),
         (&[Shown(500), Other(1000)], 1001, Refused),
-        (&[Lost(1000), Announced], 1002, GoesOn),
-        (&[Other(1000), Announced], 1002, GoesOn),
+        // An announcement may be older than the run.
+        (&[Lost(1000), Announced], 1002, IsAsked),
+        (&[Shown(500), Lost(1000), Announced], 1002, IsAsked),
+        (&[Shown(500), Announced], 9000, IsAsked),
+        (&[Shown(500), Listed], 9000, IsAsked),
+        (&[Other(1000), Announced], 1002, IsAsked),
+        (&[Other(1000), Announced, Shown(1002)], 1003, GoesOn),
+        (&[Announced, Other(1002)], 1003, Refused),
+        // A server that does not say is the announced run.
+        (&[Lost(1000), Announced, NotShown(1002)], 1003, GoesOn),
     ] {
         let mut placer = placer(Some(1));
         for event in events {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -14,6 +14,7 @@
         shared::Shared,
         streams, ticker,
     },
+    baobab_place::{Server, ServerKey},
     baobab_unit::id_of,
     flume::{Receiver, Sender},
     std::{
@@ -170,7 +171,21 @@
             for server in &servers {
                 streams::on_announced(core, core.placer.borrow().registry.get(server.key), server);
             }
-            core.placer.borrow_mut().registry.replace(servers, now);
+            let mut placer = core.placer.borrow_mut();
+            let is_other_run = |server: &Server| {
+                let known = placer.registry.get(server.key);
+                known.is_some_and(|known| known.started_unix_ms != server.started_unix_ms)
+            };
+            let other_runs: Vec<ServerKey> = servers
+                .iter()
+                .filter(|server| is_other_run(server))
+                .map(|server| server.key)
+                .collect();
+            for key in other_runs {
+                placer.on_other_run_announced(key);
+            }
+            placer.registry.replace(servers, now);
+            drop(placer);
             on_services_changed(core);
         }
         Command::Announce(server) => announce(core, *server),
@@ -227,7 +242,7 @@
     }
 }
 
-fn announce(core: &Core, server: baobab_place::Server) {
+fn announce(core: &Core, server: Server) {
     let key = server.key;
     log::info!(
         server = server.id.as_str(),
