--- a/crates/relay/src/callers/activity.rs
+++ b/crates/relay/src/callers/activity.rs
@@ -22,6 +22,7 @@
     head_started_at: Cell<Option<Instant>>,
     idle_since: Cell<Instant>,
     is_write_blocked: Cell<bool>,
+    ends_responses: Cell<bool>,
 }
 
 impl ConnectionActivity {
@@ -33,6 +34,7 @@
             head_started_at: Cell::new(None),
             idle_since: Cell::new(Instant::now()),
             is_write_blocked: Cell::new(false),
+            ends_responses: Cell::new(false),
         })
     }
 
@@ -44,6 +46,17 @@
         BusyGuard(Rc::clone(self))
     }
 
+    /// Records that a response ends with the connection, since its caller knows no chunks.
+    pub fn on_http_1_0(&self) {
+        self.ends_responses.set(true);
+    }
+
+    /// Whether the end of the connection is the end of a response.
+    #[must_use]
+    pub fn ends_responses(&self) -> bool {
+        self.ends_responses.get()
+    }
+
     /// Returns how long a head has been arriving, or none if no head is or a response is still being
     /// sent.
     #[must_use]
@@ -111,6 +124,11 @@
     pub fn new(stream: S, activity: Rc<ConnectionActivity>) -> Self {
         Self { stream, activity }
     }
+
+    /// Returns the wrapped stream.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for TrackedStream<S> {
--- a/crates/relay/src/callers/connection.rs
+++ b/crates/relay/src/callers/connection.rs
@@ -6,9 +6,10 @@
         service,
     },
     crate::core::{Core, Phase},
-    hyper::{server::conn::http1, service::service_fn},
+    http::{Request, Version},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    std::{pin::pin, rc::Rc, time::Duration},
+    std::{pin::Pin, rc::Rc, time::Duration},
     tokio::{net::TcpStream, task::yield_now, time::sleep},
 };
 
@@ -42,20 +43,20 @@
     let io = TokioIo::new(TrackedStream::new(stream, Rc::clone(&activity)));
     let service_core = Rc::clone(&core);
     let service_activity = Rc::clone(&activity);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
+        if request.version() == Version::HTTP_10 {
+            service_activity.on_http_1_0();
+        }
         let busy = service_activity.begin_request();
         service::serve(Rc::clone(&service_core), request, busy)
     });
-    let mut connection = pin!(
-        http1::Builder::new()
-            .max_buf_size(head_bytes(&core).max(MIN_BUFFER_BYTES))
-            .serve_connection(io, service)
-    );
-    loop {
+    let mut connection = http1::Builder::new()
+        .max_buf_size(head_bytes(&core).max(MIN_BUFFER_BYTES))
+        .serve_connection(io, service);
+    let result = loop {
         tokio::select! {
             biased;
-            // Errors are on the caller's side; its request is logged separately.
-            _ = connection.as_mut() => return,
+            result = &mut connection => break result,
             () = sleep(CHECK_INTERVAL) => {}
         }
         if check_limits(&core, &activity) == LimitCheck::WithinLimits {
@@ -65,14 +66,25 @@
         // were received meanwhile. A yield makes it look for them.
         tokio::select! {
             biased;
-            _ = connection.as_mut() => return,
+            result = &mut connection => break result,
             () = yield_now() => {}
         }
         match check_limits(&core, &activity) {
             LimitCheck::WithinLimits => {}
-            LimitCheck::CloseGracefully => connection.as_mut().graceful_shutdown(),
+            LimitCheck::CloseGracefully => Pin::new(&mut connection).graceful_shutdown(),
             LimitCheck::Abort => return,
         }
+    };
+    // Other errors are on the caller's side; its request is logged separately.
+    if result.is_err() && activity.ends_responses() {
+        reset(&connection.into_parts().io.into_inner().into_inner());
+    }
+}
+
+/// Resets a connection, so that a response that ends with it does not look complete.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        log::info!("cannot reset a caller's connection: {error}");
     }
 }
 
