--- a/crates/relay/src/forward/end_check.rs
+++ b/crates/relay/src/forward/end_check.rs
@@ -11,6 +11,8 @@
     tokio::time::{Instant, timeout_at},
 };
 
+/// Time allowed for the answer. A sound server may be silent for about a second.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time that is left to pass a response on that ends just before its deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
@@ -25,8 +27,6 @@
     pub began_at: Instant,
     /// When it has to be passed on.
     pub deadline: Instant,
-    /// Whether the server answers questions at once, whatever else it does.
-    pub answers_at_once: bool,
 }
 
 /// Returns whether the server of a response that has ended with its connection runs on, by asking it. A
@@ -36,9 +36,7 @@
     let since = core.now();
     let check = async {
         // The process at the other end of an older connection is the one that sent the response.
-        if let Some(run_check) = ask_on_idle(&core, &ended).await
-            && run_check != RunCheck::Failed
-        {
+        if is_open_on_idle(&core, &ended).await {
             return true;
         }
         match ask_on_new(&core, &ended).await {
@@ -55,20 +53,26 @@
     runs_on
 }
 
-/// Asks over an idle connection that is older than the response, if there is one.
-async fn ask_on_idle(core: &Rc<Core>, ended: &EndedResponse) -> Option<RunCheck> {
+/// Asks over an idle connection that is older than the response, if there is one. Returns whether the server
+/// has answered, or left the connection open.
+async fn is_open_on_idle(core: &Rc<Core>, ended: &EndedResponse) -> bool {
     let server = &ended.server;
-    let (connection, max_idle_time) = core.pool.take_older(server.key, ended.began_at)?;
+    let Some((connection, max_idle_time)) = core.pool.take_older(server.key, ended.began_at) else {
+        return false;
+    };
     let mut active = ActiveConnection::new(core, server.key, connection, true);
-    let run_check = ask_run(core, server, &mut active).await;
-    if run_check != RunCheck::Failed
+    let run_check = ask_run(core, server, &mut active, ANSWER_TIMEOUT).await;
+    if run_check == RunCheck::Failed {
+        return !active.is_closed();
+    }
+    if !active.is_closed()
         && let Some(connection) = active.release()
     {
         let max_idle = ended.limits.max_idle;
         core.pool
             .put(server.key, connection, Some(max_idle_time), max_idle);
     }
-    Some(run_check)
+    true
 }
 
 /// Asks over a new connection, which is closed after that: the server may serve one at a time. Returns none
@@ -81,11 +85,5 @@
         .inc();
     let opened = core.pool.open(server, ended.limits.max_busy).await;
     let mut active = ActiveConnection::new(core, server.key, opened.ok()?, false);
-    let run_check = ask_run(core, server, &mut active).await;
-    let is_busy = run_check == RunCheck::Failed && !ended.answers_at_once && !active.is_closed();
-    Some(if is_busy {
-        RunCheck::Unknown
-    } else {
-        run_check
-    })
+    Some(ask_run(core, server, &mut active, ANSWER_TIMEOUT).await)
 }
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -128,7 +128,6 @@
                 limits: load_guard.limits,
                 began_at: self.began_at,
                 deadline: load_guard.deadline,
-                answers_at_once: load_guard.is_stream,
             };
             Box::pin(runs_on(Rc::clone(&self.core), ended))
         });
--- a/crates/relay/src/forward/load_guard.rs
+++ b/crates/relay/src/forward/load_guard.rs
@@ -21,8 +21,6 @@
     pub answered_at: Option<Duration>,
     /// When the response must be complete.
     pub deadline: Instant,
-    /// Whether the response is a stream.
-    pub is_stream: bool,
     load: Load,
     predicted_first_event: Duration,
     sent_at: Instant,
@@ -47,7 +45,6 @@
             has_permit: placement.has_permit,
             answered_at,
             deadline: job.deadline,
-            is_stream: job.route.retry_safety.is_stream(),
             load,
             predicted_first_event: placement.predicted_first_event,
             sent_at: Instant::now(),
--- a/crates/relay/src/forward/run_check.rs
+++ b/crates/relay/src/forward/run_check.rs
@@ -38,12 +38,21 @@
     if active.run().is_some() {
         return compare(server, active);
     }
-    ask_run(core, server, active).await
+    match ask_run(core, server, active, ANSWER_TIMEOUT).await {
+        // The connection is needed after the answer.
+        _ if active.is_closed() => RunCheck::Failed,
+        run_check => run_check,
+    }
 }
 
 /// Asks which run is at the other end of a connection, also if that is known, and so whether it is running.
-pub async fn ask_run(core: &Core, server: &Server, active: &mut ActiveConnection) -> RunCheck {
-    let answer = timeout(ANSWER_TIMEOUT, ask(core, server, active)).await;
+pub async fn ask_run(
+    core: &Core,
+    server: &Server,
+    active: &mut ActiveConnection,
+    answer_timeout: Duration,
+) -> RunCheck {
+    let answer = timeout(answer_timeout, ask(core, server, active)).await;
     let started = match &answer {
         Ok(Some(answer)) => core.header_codec.decode_report(answer),
         _ => None,
@@ -72,8 +81,7 @@
     }
 }
 
-/// Returns the server's report on itself, empty if it has none; or none if the connection can't be used
-/// any more.
+/// Returns the server's report on itself, empty if it has none; or none if it has not answered.
 async fn ask(core: &Core, server: &Server, active: &mut ActiveConnection) -> Option<Bytes> {
     let mut request = Request::new(Full::default());
     *request.uri_mut() = core.header_codec.report_uri();
@@ -92,5 +100,5 @@
     if head.status != StatusCode::OK {
         answer.clear();
     }
-    (!active.is_closed()).then(|| answer.freeze())
+    Some(answer.freeze())
 }
