--- a/crates/place/tests/fairness.rs
+++ b/crates/place/tests/fairness/main.rs
@@ -1,11 +1,12 @@
 //! Workspaces that reach few or all routers of a large fleet, under twice the load that its engines
 //! serve.
 
+mod jumps;
 mod support;
 
 use {
     std::time::Duration,
-    support::{Demand, Scenario, play},
+    support::{Conditions, Demand, Scenario, play},
 };
 
 const ROUTERS: usize = 90;
@@ -15,6 +16,7 @@
         tokens_per_s: mega_tokens_per_s * 1e6,
         routers,
         from: Duration::from_secs(from_s),
+        jumps: false,
     }
 }
 
@@ -33,6 +35,7 @@
         capacity: 1.6e6,
         demands,
         length: Duration::from_secs(14),
+        conditions: Conditions::default(),
     }
 }
 
--- a/crates/place/tests/support/mod.rs
+++ b/crates/place/tests/fairness/support/mod.rs
@@ -1,7 +1,15 @@
 //! A simulated fleet: routers that choose engines by answers of owners, engines that prefill in
 //! order of arrival, and workspaces whose callers retry once.
 
+mod conditions;
 mod engines;
+mod outcome;
+mod trouble;
+
+pub use {
+    conditions::{Conditions, Crash, Kind, SITE_KINDS, Variant},
+    outcome::{Outcome, Second},
+};
 
 use {
     baobab_place::{
@@ -30,61 +38,27 @@
 /// Interval of the routers' shares.
 const TICK: Duration = Duration::from_millis(100);
 /// Interval of the exchange of rates with owners.
-const RATES_INTERVAL: Duration = Duration::from_millis(400);
+pub const RATES_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after which a refused caller retries, as a fraction of its time left.
 const RETRY_FRACTION: f64 = 0.25;
 const SAMPLES: u32 = 3;
 /// Processor time that a router takes for one request.
-const REQUEST_TIME: Duration = Duration::from_millis(14);
+pub const REQUEST_TIME: Duration = Duration::from_millis(14);
 /// Time for which a caller waits for a router to read its request.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a router waits for answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Backlog of a router from which on it counts as overloaded.
 const OVERLOAD_BACKLOG: Duration = Duration::from_millis(60);
-
-/// A kind of request.
-#[derive(Debug, Clone, Copy)]
-pub struct Kind {
-    weight: f64,
-    objective_ms: u64,
-    timeout_ms: u64,
-    mean_prompt_tokens: f64,
-    spread: f64,
-    max_prompt_tokens: f64,
-    output_tokens: u64,
-}
-
-/// Kinds of request: full histories, quick questions and short notes.
-const KINDS: [Kind; 3] = [
-    Kind {
-        weight: 0.31,
-        objective_ms: 1000,
-        timeout_ms: 15_000,
-        mean_prompt_tokens: 9_000.0,
-        spread: 0.9,
-        max_prompt_tokens: 54_600.0,
-        output_tokens: 382,
-    },
-    Kind {
-        weight: 0.29,
-        objective_ms: 400,
-        timeout_ms: 15_000,
-        mean_prompt_tokens: 830.0,
-        spread: 0.8,
-        max_prompt_tokens: 3_310.0,
-        output_tokens: 290,
-    },
-    Kind {
-        weight: 0.40,
-        objective_ms: 500,
-        timeout_ms: 3_000,
-        mean_prompt_tokens: 2_400.0,
-        spread: 0.9,
-        max_prompt_tokens: 6_870.0,
-        output_tokens: 23,
-    },
-];
+/// Mean delays of a router above which it refuses streams of limited workspaces, and all.
+const HIGH_DELAY: Duration = Duration::from_millis(120);
+const SEVERE_DELAY: Duration = Duration::from_millis(300);
+/// Processor time that a router takes to refuse a stream unread.
+const REFUSAL_TIME: Duration = Duration::from_millis(1);
+/// Time after which a connection is refused.
+const CONNECT_TIME: Duration = Duration::from_millis(3);
+/// Engines that a request tries without a connection.
+const MAX_UNREACHABLE: usize = 3;
 
 /// Demand of one workspace.
 #[derive(Debug, Clone, Copy)]
@@ -95,6 +69,8 @@
     pub routers: (usize, usize),
     /// When its callers begin.
     pub from: Duration,
+    /// Whether the rate jumps every two to five seconds, from a tenth to twice its mean.
+    pub jumps: bool,
 }
 
 /// The played load and fleet.
@@ -106,91 +82,7 @@
     pub capacity: f64,
     pub demands: Vec<Demand>,
     pub length: Duration,
-}
-
-/// What one workspace asked for and got in one second, in tokens.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Second {
-    pub asked: f64,
-    pub begun: f64,
-    pub refused: u32,
-}
-
-/// Result of a play: each workspace by second.
-#[derive(Debug, Default)]
-pub struct Outcome {
-    pub seconds: BTreeMap<u32, Vec<Second>>,
-    pub largest: BTreeMap<u32, [f64; 3]>,
-}
-
-impl Outcome {
-    /// Returns the workspaces that wait in each of six seconds and get less than half of what they
-    /// asked for or the best served one got, less three of their largest requests.
-    pub fn unfair(&self) -> Vec<String> {
-        let length = self.seconds.values().map(Vec::len).max().unwrap_or(0);
-        let mut found = Vec::new();
-        for from in 0..length.saturating_sub(5) {
-            let window = |seconds: &Vec<Second>| -> Vec<Second> {
-                (from..from + 6)
-                    .map(|second| seconds.get(second).copied().unwrap_or_default())
-                    .collect()
-            };
-            let best: f64 = self
-                .seconds
-                .values()
-                .map(|seconds| window(seconds).iter().map(|s| s.begun).sum::<f64>())
-                .fold(0.0, f64::max);
-            let best_seconds = self
-                .seconds
-                .values()
-                .map(window)
-                .max_by(|left, right| {
-                    let sum = |w: &Vec<Second>| w.iter().map(|s| s.begun).sum::<f64>();
-                    sum(left).total_cmp(&sum(right))
-                })
-                .unwrap_or_default();
-            for (workspace, seconds) in &self.seconds {
-                let own = window(seconds);
-                let owed: f64 = own
-                    .iter()
-                    .zip(&best_seconds)
-                    .map(|(own, best)| own.asked.min(best.begun))
-                    .sum();
-                let got: f64 = own.iter().map(|second| second.begun).sum();
-                let slack: f64 = self.largest[workspace].iter().sum();
-                if own.iter().all(|second| second.refused > 0) && got < (owed - slack) / 2.0 {
-                    found.push(format!(
-                        "workspace {workspace} from {from} s: {:.2} M of {:.2} M, best {:.2} M",
-                        got / 1e6,
-                        owed / 1e6,
-                        best / 1e6
-                    ));
-                }
-            }
-        }
-        found
-    }
-
-    /// Returns the tokens that a workspace asked for and got from a second on.
-    pub fn totals(&self, workspace: u32, from: usize) -> (f64, f64) {
-        self.seconds[&workspace]
-            .iter()
-            .skip(from)
-            .fold((0.0, 0.0), |(asked, begun), second| {
-                (asked + second.asked, begun + second.begun)
-            })
-    }
-
-    /// Returns the tokens a second that all engines began, from a second on.
-    pub fn throughput(&self, from: usize) -> f64 {
-        let length = self.seconds.values().map(Vec::len).max().unwrap_or(0);
-        let begun: f64 = self
-            .seconds
-            .keys()
-            .map(|workspace| self.totals(*workspace, from).1)
-            .sum();
-        begun / (length - from) as f64
-    }
+    pub conditions: Conditions,
 }
 
 #[derive(Debug, Clone)]
@@ -202,6 +94,22 @@
     is_retry: bool,
     seed: u64,
     router: usize,
+    /// Engines where an attempt has failed.
+    tried: Vec<ServerKey>,
+    charged_as: Option<AdmissionClass>,
+    /// Whether an engine may have begun it.
+    may_have_run: bool,
+    /// Whether an engine has begun it.
+    has_begun: bool,
+}
+
+/// A request at an engine.
+#[derive(Debug)]
+struct Sent {
+    request: Request,
+    load: Load,
+    begins_at: Duration,
+    has_first_event: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -211,10 +119,15 @@
     Submit(Box<Request>),
     /// The router has read it.
     Place(Box<Request>, u32),
-    First(usize, ServerKey, Load, Duration, Duration),
-    End(usize, ServerKey, Load),
+    First(u64, ServerKey, Duration, Duration),
+    End(u64, ServerKey),
+    /// No connection could be opened.
+    Unreachable(Box<Request>, ServerKey, Load),
     Tick(usize),
     ExchangeRates(usize),
+    Jump(u32),
+    Crash,
+    Restart,
 }
 
 struct Router {
@@ -225,6 +138,8 @@
     own: BTreeMap<ServerKey, Load>,
     asked_at: Duration,
     busy_until: Duration,
+    mean_delay: Duration,
+    overloaded_since: Option<Duration>,
 }
 
 struct Simulation {
@@ -233,6 +148,11 @@
     routers: Vec<Router>,
     totals: BTreeMap<ServerKey, Load>,
     free_at: BTreeMap<ServerKey, Duration>,
+    sent: BTreeMap<ServerKey, BTreeMap<u64, Sent>>,
+    next_sent: u64,
+    /// The demands' rates, relative to their means.
+    levels: BTreeMap<u32, f64>,
+    is_crashed: bool,
     queue: BinaryHeap<Reverse<(Duration, u64)>>,
     events: BTreeMap<u64, Event>,
     next_event: u64,
@@ -258,6 +178,8 @@
                 own: BTreeMap::new(),
                 asked_at: Duration::ZERO,
                 busy_until: Duration::ZERO,
+                mean_delay: Duration::ZERO,
+                overloaded_since: None,
             })
             .collect();
         let mut simulation = Self {
@@ -265,6 +187,10 @@
             routers,
             totals: BTreeMap::new(),
             free_at: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            next_sent: 0,
+            levels: BTreeMap::new(),
+            is_crashed: false,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -274,7 +200,11 @@
         };
         for router in 0..simulation.scenario.routers {
             simulation.at(TICK, Event::Tick(router));
-            let offset = RATES_INTERVAL.mul_f64(simulation.random.random());
+            let offset = simulation
+                .scenario
+                .conditions
+                .rates_interval
+                .mul_f64(simulation.random.random());
             simulation.at(offset, Event::ExchangeRates(router));
         }
         for (workspace, demand) in (0..).zip(simulation.scenario.demands.clone()) {
@@ -283,6 +213,13 @@
             simulation.outcome.seconds.insert(workspace, seconds);
             simulation.outcome.largest.insert(workspace, [0.0; 3]);
             simulation.at(demand.from, Event::Arrive(workspace));
+            if demand.jumps {
+                simulation.at(demand.from, Event::Jump(workspace));
+            }
+        }
+        if let Some(crash) = simulation.scenario.conditions.crash {
+            simulation.at(crash.at, Event::Crash);
+            simulation.at(crash.at + crash.outage, Event::Restart);
         }
         simulation
     }
@@ -310,38 +247,28 @@
             Event::Arrive(workspace) => self.arrive(workspace),
             Event::Submit(request) => self.submit(*request),
             Event::Place(request, round) => self.place(*request, round),
-            Event::First(router, key, load, predicted, actual) => {
-                let mut remaining = load;
-                let now = self.now;
-                let router = &mut self.routers[router];
-                // An overloaded router cannot tell its own delay from the engine's time.
-                let delay = router.busy_until.saturating_sub(now);
-                let measured = (delay <= OVERLOAD_BACKLOG).then_some(actual);
-                router
-                    .placer
-                    .on_first_event(key, &mut remaining, predicted, measured);
-                let freed = Load {
-                    pending_prefill_tokens: load.pending_prefill_tokens,
-                    ..Load::default()
-                };
-                *router.own.entry(key).or_default() -= freed;
-                *self.totals.entry(key).or_default() -= freed;
+            Event::First(id, key, predicted, actual) => {
+                self.on_first_event(id, key, predicted, actual);
             }
-            Event::End(router, key, load) => {
-                let ended = Load {
-                    pending_prefill_tokens: 0,
-                    ..load
-                };
-                let now = self.now;
-                let router = &mut self.routers[router];
-                router.placer.on_finished(key, ended, None, now);
-                *router.own.entry(key).or_default() -= ended;
-                *self.totals.entry(key).or_default() -= ended;
+            Event::End(id, key) => {
+                if let Some(sent) = self.sent.get_mut(&key).and_then(|sent| sent.remove(&id)) {
+                    self.release(key, &sent, None);
+                }
             }
+            Event::Unreachable(request, key, load) => self.on_unreachable(*request, key, load),
+            Event::Jump(workspace) => self.jump(workspace),
+            Event::Crash => self.crash(),
+            Event::Restart => self.is_crashed = false,
             Event::Tick(index) => {
                 let now = self.now;
-                let (capacity, size) = (self.scenario.capacity, self.scenario.routers);
+                let capacity = self.scenario.capacity;
+                let conditions = &self.scenario.conditions;
+                let size = match conditions.variant {
+                    Variant::WholeBuckets => 1,
+                    _ => self.scenario.routers,
+                };
                 let router = &mut self.routers[index];
+                router.observe_delay(now);
                 let others = router.others.clone();
                 router.shares.tick(others, capacity, size, now);
                 self.at(TICK, Event::Tick(index));
@@ -363,7 +290,8 @@
             }
         }
         self.routers[index].others = others;
-        self.at(RATES_INTERVAL, Event::ExchangeRates(index));
+        let interval = self.scenario.conditions.rates_interval;
+        self.at(interval, Event::ExchangeRates(index));
     }
 
     fn second(&mut self, workspace: u32) -> &mut Second {
@@ -373,13 +301,14 @@
 
     fn kind(&mut self) -> Kind {
         let mut remaining: f64 = self.random.random();
-        for kind in KINDS {
+        let kinds = self.scenario.conditions.kinds;
+        for kind in kinds {
             remaining -= kind.weight;
             if remaining < 0.0 {
-                return kind;
+                return *kind;
             }
         }
-        KINDS[KINDS.len() - 1]
+        kinds[kinds.len() - 1]
     }
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -401,16 +330,19 @@
             is_retry: false,
             seed: self.random.random(),
             router: first + self.random.random_range(0..count),
+            tried: Vec::new(),
+            charged_as: None,
+            may_have_run: false,
+            has_begun: false,
         }
     }
 
     fn arrive(&mut self, workspace: u32) {
         let request = self.request(workspace);
-        let mean_tokens: f64 = KINDS
-            .iter()
-            .map(|kind| kind.weight * (kind.mean_prompt_tokens + 2.0 * kind.output_tokens as f64))
-            .sum();
-        let rate = self.scenario.demands[workspace as usize].tokens_per_s / mean_tokens;
+        let kinds = self.scenario.conditions.kinds;
+        let mean_tokens: f64 = kinds.iter().map(Kind::mean_claim).sum();
+        let level = self.levels.get(&workspace).copied().unwrap_or(1.0);
+        let rate = self.scenario.demands[workspace as usize].tokens_per_s * level / mean_tokens;
         let pause = -(1.0 - self.random.random::<f64>()).ln() / rate;
         self.at(Duration::from_secs_f64(pause), Event::Arrive(workspace));
         self.submit(request);
@@ -428,26 +360,49 @@
             largest.sort_by(|left, right| right.total_cmp(left));
         }
         let now = self.now;
+        let conditions = self.scenario.conditions.clone();
+        let is_modest = self.admission_class(&request) == AdmissionClass::Modest;
         let router = &mut self.routers[request.router];
         let wait = router.busy_until.saturating_sub(now);
         if wait > UNREAD_TIMEOUT {
+            if conditions.variant == Variant::UnreadCounted && !request.is_retry {
+                router.shares.claim(request.workspace, tokens);
+            }
+            return self.refuse(request);
+        }
+        let max_delay = if is_modest { SEVERE_DELAY } else { HIGH_DELAY };
+        if conditions.refuses_unread && request.kind.is_stream() && router.mean_delay > max_delay {
+            router.busy_until = router.busy_until.max(now) + REFUSAL_TIME;
+            if conditions.variant == Variant::UnreadCounted && !request.is_retry {
+                router.shares.claim(request.workspace, tokens);
+            }
             return self.refuse(request);
         }
-        router.busy_until = router.busy_until.max(now) + REQUEST_TIME;
-        if !request.is_retry || wait > OVERLOAD_BACKLOG {
+        router.busy_until = router.busy_until.max(now) + conditions.read_time;
+        let is_overloaded = if conditions.keeps_overload {
+            router.overloaded_since.is_some()
+        } else {
+            wait > OVERLOAD_BACKLOG
+        };
+        if !request.is_retry || is_overloaded && conditions.variant != Variant::UnreadCounted {
             router.shares.claim(request.workspace, tokens);
         }
         self.at(wait, Event::Place(Box::new(request), 0));
     }
 
     fn place(&mut self, request: Request, round: u32) {
-        let backlog = self.routers[request.router]
-            .busy_until
-            .saturating_sub(self.now);
-        let is_overloaded = backlog > OVERLOAD_BACKLOG;
+        let conditions = &self.scenario.conditions;
+        let router = &self.routers[request.router];
+        let backlog = router.busy_until.saturating_sub(self.now);
+        let is_overloaded = if conditions.keeps_overload {
+            router.overloaded_since.is_some()
+        } else {
+            backlog > OVERLOAD_BACKLOG
+        };
+        let is_overloaded = is_overloaded && conditions.variant != Variant::OverloadedAsk;
         let admission_class = self.admission_class(&request);
         match self.try_place(&request, admission_class, round, is_overloaded) {
-            Some(placement) => self.send(&request, &placement, admission_class),
+            Some(placement) => self.send(request, &placement, admission_class),
             None if round + 1 < samples(admission_class, is_overloaded) => {
                 let again = Event::Place(Box::new(request), round + 1);
                 self.at(Duration::from_millis(15), again);
@@ -457,14 +412,21 @@
     }
 
     fn admission_class(&self, request: &Request) -> AdmissionClass {
-        let attempt = if request.is_retry {
+        let conditions = &self.scenario.conditions;
+        let attempt = if request.is_retry && conditions.variant != Variant::LateAsFirst {
             CallerAttempt::Late
         } else {
             CallerAttempt::First
         };
-        self.routers[request.router]
+        let class = self.routers[request.router]
             .shares
-            .admission_class(request.workspace, attempt)
+            .admission_class(request.workspace, attempt);
+        match class {
+            AdmissionClass::WithinShare { .. } if conditions.variant == Variant::FullBounds => {
+                AdmissionClass::WithinShare { unused: 1.0 }
+            }
+            class => class,
+        }
     }
 
     fn try_place(
@@ -476,6 +438,7 @@
     ) -> Option<Placement> {
         let now = self.now;
         let router = &mut self.routers[request.router];
+        let ask_time = self.scenario.conditions.ask_time;
         let uncached = Prompt {
             tokens: fraction_of(request.prompt.tokens, UNCACHED_FRACTION),
             ..request.prompt.clone()
@@ -488,7 +451,7 @@
             domain: "north",
             sample: None,
             seed: request.seed,
-            tried: &[],
+            tried: &request.tried,
             admission_class,
             allows_limited: true,
             versions: VersionBound::Any,
@@ -503,6 +466,7 @@
         let mut answers = Vec::new();
         if asks {
             router.asked_at = now;
+            router.busy_until = router.busy_until.max(now) + ask_time;
             answers = sample
                 .iter()
                 .map(|key| {
@@ -540,38 +504,56 @@
         placement
     }
 
-    fn send(&mut self, request: &Request, placement: &Placement, admission_class: AdmissionClass) {
+    fn send(
+        &mut self,
+        mut request: Request,
+        placement: &Placement,
+        admission_class: AdmissionClass,
+    ) {
         let now = self.now;
         let tokens = request.prompt.claim_tokens();
         let key = placement.server.key;
+        let serve_time = self.scenario.conditions.serve_time;
         let router = &mut self.routers[request.router];
-        router
-            .shares
-            .charge(request.workspace, tokens, admission_class);
+        if request.charged_as.is_none() {
+            router
+                .shares
+                .charge(request.workspace, tokens, admission_class);
+            request.charged_as = Some(admission_class);
+        }
+        router.busy_until = router.busy_until.max(now) + serve_time;
         let load = router.placer.on_sent(placement, Some(&request.prompt), now);
         *router.own.entry(key).or_default() += load;
         *self.totals.entry(key).or_default() += load;
+        if self.is_down(key) {
+            let event = Event::Unreachable(Box::new(request), key, load);
+            return self.at(CONNECT_TIME, event);
+        }
         let free_at = self.free_at.entry(key).or_default();
         let prefill_ms = placement.prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
-        *free_at = (*free_at).max(now) + Duration::from_secs_f64(prefill_ms / 1000.0);
+        let begins_at = (*free_at).max(now);
+        *free_at = begins_at + Duration::from_secs_f64(prefill_ms / 1000.0);
         let first_after = free_at.saturating_sub(now) + FIRST_EVENT_OVERHEAD;
         let output = u32::try_from(request.prompt.output_limit).unwrap();
-        self.second(request.workspace).begun += tokens as f64;
+        if !request.has_begun {
+            self.second(request.workspace).begun += tokens as f64;
+        }
         if first_after > Duration::from_millis(request.kind.objective_ms) {
             self.second(request.workspace).refused += 1;
         }
-        self.at(
-            first_after,
-            Event::First(
-                request.router,
-                key,
-                load,
-                placement.predicted_first_event,
-                first_after,
-            ),
-        );
+        let id = self.next_sent;
+        self.next_sent += 1;
+        let predicted = placement.predicted_first_event;
+        self.at(first_after, Event::First(id, key, predicted, first_after));
         let end_after = first_after + TIME_PER_TOKEN * output;
-        self.at(end_after, Event::End(request.router, key, load));
+        self.at(end_after, Event::End(id, key));
+        let sent = Sent {
+            request,
+            load,
+            begins_at,
+            has_first_event: false,
+        };
+        self.sent.entry(key).or_default().insert(id, sent);
     }
 
     fn refuse(&mut self, request: Request) {
@@ -586,6 +568,9 @@
         let retry = Request {
             is_retry: true,
             router: *routers.choose(&mut self.random).unwrap(),
+            tried: Vec::new(),
+            charged_as: None,
+            may_have_run: false,
             ..request
         };
         self.at(delay, Event::Submit(Box::new(retry)));
--- a/crates/place/tests/sample.rs
+++ b/crates/place/tests/sample.rs
@@ -1,6 +1,6 @@
 //! Samples of servers whose load their owners know, at the load of a large fleet.
 
-#[path = "support/engines.rs"]
+#[path = "fairness/support/engines.rs"]
 mod engines;
 
 use {
