--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         evidence::Evidence,
+        forward::KeptMemory,
         gossip::{GossipSocket, Outbox, PeerDirectory},
         header_codec::HeaderCodec,
         metrics::Metrics,
@@ -99,6 +100,8 @@
     pub in_flight: Cell<usize>,
     /// Bytes of request bodies in memory.
     pub body_bytes: Cell<u64>,
+    /// Memory for what is kept of responses.
+    pub kept: KeptMemory,
     /// Retry budgets of this router, and what it keeps of those of others.
     pub retries: Retries,
     random: RefCell<SmallRng>,
@@ -120,6 +123,7 @@
             Peers::new(PEER_TIMEOUT),
             settings.tuning.clone(),
         );
+        let metrics = Metrics::new();
         Self {
             active_configuration: RefCell::new(ActiveConfiguration::new(bounds.key_lease)),
             placer: RefCell::new(placer),
@@ -134,7 +138,6 @@
             loads_changed: Notify::new(),
             outboxes: RefCell::default(),
             pool: ConnectionPool::default(),
-            metrics: Metrics::new(),
             capacity_freed: Notify::new(),
             bounds: RefCell::new(bounds),
             phase: Cell::new(Phase::Serving),
@@ -144,6 +147,8 @@
             connections: Cell::new(0),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
+            kept: KeptMemory::new(settings.memory_bytes, metrics.kept_bytes.clone()),
+            metrics,
             retries: Retries::new(&settings.bounds),
             random: RefCell::new(SmallRng::from_os_rng()),
             started: Instant::now(),
--- a/crates/relay/src/forward/dispatch.rs
+++ b/crates/relay/src/forward/dispatch.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         admission::{place, refund, share_basis},
-        attempt::{AttemptError, ServerResponse, attempt},
+        attempt::{AttemptError, attempt},
         attempts::Attempts,
+        buffering::buffer_response,
         exchange::Exchange,
         job::Job,
         problem::{Problem, Reason},
@@ -12,22 +13,15 @@
         waiting::{MAX_OVERLAP, WaitingAttempt, WaitingAttempts, WaitingEvent},
     },
     crate::{core::Core, retries, streams},
-    baobab_place::{Placement, ServerKey, ServerOutcome},
+    baobab_place::{Placement, ServerKey},
     baobab_routing::RetrySafety,
     baobab_unit::millis,
-    bytes::{Bytes, BytesMut},
-    http::{
-        StatusCode,
-        header::{CONTENT_LENGTH, RETRY_AFTER},
-        response,
-    },
-    std::{future::poll_fn, rc::Rc, time::Duration},
+    bytes::Bytes,
+    http::{StatusCode, response},
+    std::{rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
-/// Responses up to this size are buffered before they are passed on, so that the request can be
-/// retried if they break off.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 /// Servers that are unreachable or have no free connection, after which a request fails.
 const MAX_UNREACHABLE: u32 = 4;
 /// Time until another server is looked for again beside a silent one.
@@ -91,7 +85,7 @@
                 if response.head.status.is_success() {
                     waiting.on_success();
                 }
-                buffer_response(job, response)
+                buffer_response(core, job, attempts, &waiting, response)
                     .await
                     .map_err(AttemptError::Lost)
             }
@@ -209,52 +203,6 @@
     Some(by_objective.max(by_prediction))
 }
 
-/// Buffers a short response; streams and long responses are passed on as they arrive. A response
-/// without `content-length` may be four times as long.
-async fn buffer_response(job: &Job, response: ServerResponse) -> Result<ForwardedResponse, String> {
-    let ServerResponse { head, mut exchange } = response;
-    let length = head
-        .headers
-        .get(CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.parse::<u64>().ok());
-    let is_stream = job.route.retry_safety.is_stream() && head.status.is_success();
-    if is_stream || length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
-        return Ok(ForwardedResponse::Stream(head, Box::new(exchange)));
-    }
-    let mut body = BytesMut::new();
-    while let Some(data) = poll_fn(|context| exchange.poll_data(context)).await {
-        match data {
-            Ok(data) => body.extend_from_slice(&data),
-            Err(reason) => {
-                exchange.finish(ServerOutcome::Failure);
-                return Err(reason);
-            }
-        }
-        if body.len() as u64 > 4 * MAX_BUFFERED_BYTES {
-            exchange.finish(ServerOutcome::Failure);
-            return Err("a response without content-length is too long".to_owned());
-        }
-    }
-    if head.status.is_success()
-        && let Err(reason) = poll_fn(|context| exchange.poll_end(context)).await
-    {
-        exchange.finish(ServerOutcome::Failure);
-        return Err(reason);
-    }
-    let is_turned_away =
-        head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(RETRY_AFTER);
-    let outcome = if is_turned_away {
-        ServerOutcome::Full
-    } else if head.status.is_server_error() {
-        ServerOutcome::Failure
-    } else {
-        ServerOutcome::Success
-    };
-    exchange.finish(outcome);
-    Ok(ForwardedResponse::Buffered(head, body.freeze()))
-}
-
 /// Returns a server's 5xx response as the error, and any refusal while another attempt waits.
 fn response_or_failure(
     response: ForwardedResponse,
@@ -364,7 +312,8 @@
 }
 
 /// Whether a status promises that the request has not run and never will.
-fn promises_not_run(status: StatusCode) -> bool {
+#[must_use]
+pub fn promises_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
--- a/crates/relay/src/forward/exchange.rs
+++ b/crates/relay/src/forward/exchange.rs
@@ -29,6 +29,10 @@
     /// Finds out whether the server runs on, once the connection's end has ended the body.
     end_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
     has_data: bool,
+    /// Data that was read before and is returned again.
+    early_data: Option<Bytes>,
+    /// Bytes that the body may still have.
+    bytes_left: u64,
     beginning: Option<AnswerBeginning>,
 }
 
@@ -64,13 +68,28 @@
             has_ended: false,
             end_check: None,
             has_data: false,
+            early_data: None,
+            bytes_left: u64::MAX,
             beginning,
         }
     }
 
+    /// Gives a body up that has more bytes than this.
+    pub fn limit(&mut self, max_bytes: u64) {
+        self.bytes_left = max_bytes;
+    }
+
+    /// Returns data that was read once more, before any other.
+    pub fn put_back(&mut self, data: Bytes) {
+        self.early_data = (!data.is_empty()).then_some(data);
+    }
+
     /// Reads the next data frame. Returns none at the end of the body; [`Self::poll_end`] tells whether it
     /// is complete.
     pub fn poll_data(&mut self, context: &mut Context) -> Poll<Option<Result<Bytes, String>>> {
+        if let Some(data) = self.early_data.take() {
+            return Poll::Ready(Some(Ok(data)));
+        }
         if self.has_ended {
             return Poll::Ready(None);
         }
@@ -86,6 +105,11 @@
                         continue;
                     };
                     self.record_data();
+                    let Some(bytes_left) = self.bytes_left.checked_sub(data.len() as u64) else {
+                        let reason = "a response without content-length is too long";
+                        return Poll::Ready(Some(Err(reason.to_owned())));
+                    };
+                    self.bytes_left = bytes_left;
                     return Poll::Ready(Some(Ok(data)));
                 }
                 Err(error) => {
--- a/crates/relay/src/forward/mod.rs
+++ b/crates/relay/src/forward/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod body_end;
 mod broken_stream;
+mod buffering;
 mod counted_send;
 mod dispatch;
 mod end_check;
@@ -13,6 +14,7 @@
 mod exchange;
 mod headers;
 mod job;
+mod kept;
 mod load_guard;
 mod problem;
 mod retry_after;
@@ -29,6 +31,7 @@
     dispatch::{ForwardedResponse, dispatch},
     headers::remove_hop_headers,
     job::{Caller, Job, TakenUpStream, key_of},
+    kept::KeptMemory,
     problem::{Problem, Reason},
     retry_after::{RefusalCause, retry_after},
     stream::StreamBody,
--- a/crates/relay/src/forward/standby.rs
+++ b/crates/relay/src/forward/standby.rs
@@ -7,13 +7,13 @@
         events::{MAX_EVENT_BYTES, has_event},
         exchange::Exchange,
         job::Job,
+        kept::KeptBytes,
         problem::{Problem, Reason},
         stream_kind::StreamKind,
         waiting::MAX_OVERLAP,
     },
     crate::core::Core,
     baobab_place::{ServerKey, ServerOutcome},
-    bytes::{Bytes, BytesMut},
     std::{
         future::Future,
         pin::Pin,
@@ -33,7 +33,7 @@
     kind: StreamKind,
     progress: StandbyProgress,
     /// What it has sent so far.
-    received: BytesMut,
+    received: KeptBytes,
     takes_over: Pin<Box<Sleep>>,
 }
 
@@ -47,8 +47,8 @@
 
 /// How a standby ends.
 pub enum StandbyOutcome {
-    /// It goes on with the stream, beginning with the data that it has sent.
-    TakesOver(StandbyProgress, Bytes),
+    /// It goes on with the stream.
+    TakesOver(StandbyProgress),
     /// The stream stays at its silent server.
     Failed(String),
 }
@@ -64,6 +64,7 @@
         last_event: Option<String>,
         kind: StreamKind,
     ) -> Self {
+        let received = KeptBytes::new(&core.kept);
         let (core, job, attempts) = (Rc::clone(core), Rc::clone(job), Rc::clone(attempts));
         let asking = async move {
             let Some(placement) = place_beside(&core, &job, &attempts, silent).await else {
@@ -75,15 +76,15 @@
         Self {
             kind,
             progress: StandbyProgress::Asking(Box::pin(asking)),
-            received: BytesMut::new(),
+            received,
             takes_over: Box::pin(sleep_until(Instant::now() + MAX_OVERLAP)),
         }
     }
 
     /// Takes over once the silent server has broken off.
     #[must_use]
-    pub fn into_parts(self) -> (StandbyProgress, Bytes) {
-        (self.progress, self.received.freeze())
+    pub fn into_progress(mut self) -> StandbyProgress {
+        self.take_progress()
     }
 
     /// Waits until it ends. Must not be polled after that.
@@ -98,19 +99,17 @@
         }
         while let StandbyProgress::Answering(exchange) = &mut self.progress {
             match exchange.poll_data(context) {
-                Poll::Ready(Some(Ok(data))) => self.received.extend_from_slice(&data),
-                Poll::Ready(_) => {
-                    if let StandbyProgress::Answering(exchange) = self.take_progress() {
-                        exchange.finish(ServerOutcome::Failure);
-                    }
-                    let reason = "the other server broke off".to_owned();
-                    return Poll::Ready(StandbyOutcome::Failed(reason));
-                }
+                Poll::Ready(Some(Ok(data))) => self.received.push(&data),
+                Poll::Ready(_) => return Poll::Ready(self.fail("the other server broke off")),
                 Poll::Pending => break,
             }
             if has_event(&self.received) || self.received.len() > MAX_EVENT_BYTES {
                 return Poll::Ready(self.take_over());
             }
+            if !self.received.is_within_share() {
+                let reason = "the other server's event exceeds the memory for responses";
+                return Poll::Ready(self.fail(reason));
+            }
         }
         self.takes_over
             .as_mut()
@@ -119,13 +118,24 @@
     }
 
     fn take_over(&mut self) -> StandbyOutcome {
-        let received = std::mem::take(&mut self.received).freeze();
-        StandbyOutcome::TakesOver(self.take_progress(), received)
+        StandbyOutcome::TakesOver(self.take_progress())
     }
 
+    fn fail(&mut self, reason: &str) -> StandbyOutcome {
+        if let StandbyProgress::Answering(exchange) = self.take_progress() {
+            exchange.finish(ServerOutcome::Failure);
+        }
+        StandbyOutcome::Failed(reason.to_owned())
+    }
+
+    /// Takes the progress; an exchange returns what it has sent so far once more.
     fn take_progress(&mut self) -> StandbyProgress {
         let ended = StandbyProgress::Asking(Box::pin(std::future::pending()));
-        std::mem::replace(&mut self.progress, ended)
+        let mut progress = std::mem::replace(&mut self.progress, ended);
+        if let StandbyProgress::Answering(exchange) = &mut progress {
+            exchange.put_back(self.received.take());
+        }
+        progress
     }
 }
 
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -6,6 +6,7 @@
         attempts::Attempts,
         body_end::BodyEnd,
         broken_stream::BrokenStream,
+        buffering::on_not_kept,
         dispatch::{dispatch, may_resume},
         events::{EventSplitter, MAX_EVENT_BYTES},
         exchange::Exchange,
@@ -56,8 +57,8 @@
     state: State,
     /// Resumption at another server while the present one is silent.
     standby: Option<Standby>,
-    /// Data with which a standby took over.
-    early_data: Option<Bytes>,
+    /// Whether it is a stream of events.
+    has_events: bool,
     splitter: Option<EventSplitter>,
     /// Whether it is recorded which version began the stream.
     is_pinned: bool,
@@ -79,7 +80,8 @@
         exchange: Box<Exchange>,
         kind: StreamKind,
     ) -> Self {
-        let is_resumable = job.route.retry_safety == RetrySafety::ResumableStream;
+        let has_events = job.route.retry_safety.is_stream() && kind.is_success();
+        let is_resumable = has_events && job.route.retry_safety == RetrySafety::ResumableStream;
         if !is_resumable {
             job.drop_body();
         }
@@ -91,8 +93,8 @@
             kind,
             state: State::Reading(exchange),
             standby: None,
-            early_data: None,
-            splitter: is_resumable.then(EventSplitter::default),
+            has_events,
+            splitter: is_resumable.then(|| EventSplitter::new(&core.kept)),
             is_pinned: false,
             last_bytes: [b'\n'; 2],
             event_bytes: 0,
@@ -108,14 +110,13 @@
         context: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
         loop {
+            if let Some(reason) = self.event_fault() {
+                return self.on_read_error(context, reason.to_owned());
+            }
             let State::Reading(exchange) = &mut self.state else {
                 return self.poll_resuming(context);
             };
-            let polled = match self.early_data.take() {
-                Some(data) => Poll::Ready(Some(Ok(data))),
-                None => exchange.poll_data(context),
-            };
-            match polled {
+            match exchange.poll_data(context) {
                 Poll::Pending => {
                     if self.poll_standby(context).is_pending() {
                         return Poll::Pending;
@@ -123,12 +124,6 @@
                 }
                 Poll::Ready(Some(Ok(data))) => {
                     let forwarded = self.split(data);
-                    if self.is_event_too_long() {
-                        return self.on_read_error(
-                            context,
-                            "an event exceeds its maximum length".to_owned(),
-                        );
-                    }
                     if !forwarded.is_empty() {
                         if self.standby.take().is_some() {
                             log::info!(id = self.job.id.as_str(); "silent server goes on");
@@ -163,7 +158,7 @@
             reason
         } else {
             self.log_end();
-            self.finish(ServerOutcome::Success);
+            self.finish(self.kind.outcome());
             return Poll::Ready(None);
         };
         self.on_read_error(context, reason)
@@ -188,7 +183,7 @@
         };
         self.standby = None;
         match outcome {
-            StandbyOutcome::TakesOver(progress, received) => self.take_over(progress, received),
+            StandbyOutcome::TakesOver(progress) => self.take_over(progress),
             StandbyOutcome::Failed(reason) => {
                 log::info!(
                     id = self.job.id.as_str(),
@@ -213,17 +208,15 @@
         };
         match exchange_of(result, &self.kind) {
             Ok(exchange) => {
-                self.take_over(StandbyProgress::Answering(exchange), Bytes::new());
+                self.take_over(StandbyProgress::Answering(exchange));
                 self.poll_reading(context)
             }
             Err(reason) => self.break_off(reason),
         }
     }
 
-    /// Goes on at another server, with what it has sent so far; the connection to the present one is
-    /// closed.
-    fn take_over(&mut self, progress: StandbyProgress, received: Bytes) {
-        self.early_data = (!received.is_empty()).then_some(received);
+    /// Goes on at another server; the connection to the present one is closed.
+    fn take_over(&mut self, progress: StandbyProgress) {
         self.state = match progress {
             StandbyProgress::Asking(resuming) => State::Resuming(resuming),
             StandbyProgress::Answering(exchange) => {
@@ -242,10 +235,10 @@
         reason: String,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
         self.finish(ServerOutcome::Failure);
-        let (progress, received) = match self.standby.take() {
-            Some(standby) => standby.into_parts(),
-            None if may_resume(&self.core, &self.job, &self.attempts) => {
-                (StandbyProgress::Asking(self.resume()), Bytes::new())
+        let progress = match self.standby.take() {
+            Some(standby) => standby.into_progress(),
+            None if self.may_go_on() && may_resume(&self.core, &self.job, &self.attempts) => {
+                StandbyProgress::Asking(self.resume())
             }
             None => return self.break_off(reason),
         };
@@ -255,7 +248,7 @@
             after:? = self.splitter.as_ref().and_then(EventSplitter::last_id);
             "stream resumes at another server"
         );
-        self.take_over(progress, received);
+        self.take_over(progress);
         self.poll_reading(context)
     }
 
@@ -338,7 +331,12 @@
 
     fn split(&mut self, data: Bytes) -> Bytes {
         if let Some(splitter) = &mut self.splitter {
-            return splitter.push(&data);
+            let was_cut = splitter.is_passed_on_in_part();
+            let forwarded = splitter.push(&data);
+            if splitter.is_passed_on_in_part() && !was_cut {
+                on_not_kept(&self.core, &self.job, "event_passed_on", forwarded.len());
+            }
+            return forwarded;
         }
         match data.windows(2).rposition(|bytes| bytes == b"\n\n") {
             Some(offset) => self.event_bytes = data.len() - offset - 2,
@@ -350,17 +348,34 @@
         data
     }
 
-    fn is_event_too_long(&self) -> bool {
-        match &self.splitter {
-            Some(splitter) => splitter.is_too_long(),
-            None => self.job.route.retry_safety.is_stream() && self.event_bytes > MAX_EVENT_BYTES,
+    /// Returns why the event that is read is given up, if it is.
+    fn event_fault(&self) -> Option<&'static str> {
+        if !matches!(self.state, State::Reading(_)) {
+            return None;
         }
+        let event_bytes = match &self.splitter {
+            Some(splitter) if splitter.is_beyond_share() => {
+                let kept_bytes = splitter.event_bytes();
+                on_not_kept(&self.core, &self.job, "event_given_up", kept_bytes);
+                return Some("an event without an id exceeds the memory for responses");
+            }
+            Some(splitter) => splitter.event_bytes(),
+            None if self.has_events => self.event_bytes,
+            None => 0,
+        };
+        (event_bytes > MAX_EVENT_BYTES).then_some("an event exceeds its maximum length")
+    }
+
+    /// Whether another server may go on with the stream: the caller has no part of an event.
+    fn may_go_on(&self) -> bool {
+        let splitter = self.splitter.as_ref();
+        splitter.is_some_and(|splitter| !splitter.is_passed_on_in_part())
     }
 
     fn is_at_boundary(&self) -> bool {
         match &self.splitter {
             Some(splitter) => splitter.is_at_boundary(),
-            None => !self.job.route.retry_safety.is_stream() || self.last_bytes == *b"\n\n",
+            None => !self.has_events || self.last_bytes == *b"\n\n",
         }
     }
 
@@ -379,10 +394,12 @@
     }
 
     fn is_silent(&mut self, context: &mut Context) -> bool {
+        let may_go_on = self.may_go_on();
         let Some(silence_timer) = &mut self.silence_timer else {
             return false;
         };
-        self.attempts.sent() < self.job.route.max_attempts
+        may_go_on
+            && self.attempts.sent() < self.job.route.max_attempts
             && !streams::is_doubtful(&self.core, self.job.stream_key())
             && silence_timer.as_mut().poll(context).is_ready()
     }
--- a/crates/relay/src/forward/stream_kind.rs
+++ b/crates/relay/src/forward/stream_kind.rs
@@ -1,6 +1,10 @@
 //! What the head of a streamed response says of its body.
 
-use http::{StatusCode, header::CONTENT_TYPE, response};
+use {
+    super::buffering::outcome_of,
+    baobab_place::ServerOutcome,
+    http::{StatusCode, header::CONTENT_TYPE, response},
+};
 
 /// Status and media type of a streamed response. Only a response of the same kind can be the rest of
 /// the stream; another one, such as an error's text, is not.
@@ -8,6 +12,21 @@
 pub struct StreamKind {
     status: StatusCode,
     media_type: Option<String>,
+    outcome: ServerOutcome,
+}
+
+impl StreamKind {
+    /// Whether the response is a success, and no failure's text.
+    #[must_use]
+    pub fn is_success(&self) -> bool {
+        self.status.is_success()
+    }
+
+    /// Returns what the response says of its server once it is complete.
+    #[must_use]
+    pub fn outcome(&self) -> ServerOutcome {
+        self.outcome
+    }
 }
 
 impl From<&response::Parts> for StreamKind {
@@ -21,6 +40,7 @@
         Self {
             status: head.status,
             media_type,
+            outcome: outcome_of(head),
         }
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -42,6 +42,10 @@
     pub first_byte: Histogram,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Bytes that are kept of servers' responses.
+    pub kept_bytes: IntGauge,
+    /// Responses and events beyond the memory for them, by outcome.
+    pub not_kept: IntCounterVec,
     /// Quarantined prompt parts.
     pub quarantined_parts: IntGauge,
     /// Servers that have named a limit.
@@ -64,14 +68,7 @@
                 .expect("unique name");
             counter
         };
-        let first_byte = Histogram::with_opts(
-            HistogramOpts::new(
-                "baobab_first_byte_seconds",
-                "Time to the first byte of an answer.",
-            )
-            .buckets(FIRST_BYTE_BUCKETS_S.to_vec()),
-        )
-        .expect("valid name");
+        let first_byte = first_byte_histogram();
         registry
             .register(Box::new(first_byte.clone()))
             .expect("unique name");
@@ -83,6 +80,10 @@
             gauge
         };
         let in_flight = gauge("baobab_requests_under_way", "Requests that are under way.");
+        let kept_bytes = gauge(
+            "baobab_kept_response_bytes",
+            "Bytes that are kept of servers' responses.",
+        );
         let quarantined_parts = gauge(
             "baobab_quarantined_parts",
             "Prompt parts and requests that crash servers and are refused.",
@@ -146,6 +147,12 @@
             ),
             first_byte,
             in_flight,
+            kept_bytes,
+            not_kept: counter(
+                "baobab_responses_not_kept_total",
+                "Responses and events beyond the memory for them.",
+                &["outcome"],
+            ),
             quarantined_parts,
             limited_servers,
             registry,
@@ -162,3 +169,11 @@
         text
     }
 }
+
+fn first_byte_histogram() -> Histogram {
+    let options = HistogramOpts::new(
+        "baobab_first_byte_seconds",
+        "Time to the first byte of an answer.",
+    );
+    Histogram::with_opts(options.buckets(FIRST_BYTE_BUCKETS_S.to_vec())).expect("valid name")
+}
