--- a/crates/watch/src/error.rs
+++ b/crates/watch/src/error.rs
@@ -26,6 +26,10 @@
         Unreachable(reason: String) {
             display("no response from the store: {reason}")
         }
+        /// The response is longer than the router's memory allows. A table is listed in parts.
+        TooLong {
+            display("the store's response is too long")
+        }
         /// The response could not be parsed.
         Malformed(reason: String) {
             display("invalid response from the store: {reason}")
--- a/crates/watch/src/follower.rs
+++ b/crates/watch/src/follower.rs
@@ -283,7 +283,13 @@
     }
 
     async fn on_failure(&mut self, error: &SourceError, started_at: Instant) {
-        if matches!(error, SourceError::HistoryGone | SourceError::Restored) {
+        let is_listed_next = match error {
+            SourceError::HistoryGone | SourceError::Restored => true,
+            // A listing that was too long is retried later.
+            SourceError::TooLong => self.revision.is_some(),
+            _ => false,
+        };
+        if is_listed_next {
             log::info!(table = self.table.as_str(), error = error.to_string().as_str(); "listing the whole table");
             self.revision = None;
             return;
