--- a/crates/relay/src/forward/standby.rs
+++ b/crates/relay/src/forward/standby.rs
@@ -1,7 +1,8 @@
-//! Another server that may take over a stream from a silent one.
+//! Another server that goes on with a stream: beside a silent one, or after one that broke off.
 
 use {
     super::{
+        admission::place,
         attempts::Attempts,
         dispatch::{ForwardedResponse, dispatch, place_beside},
         events::{MAX_EVENT_BYTES, has_event},
@@ -19,10 +20,16 @@
         pin::Pin,
         rc::Rc,
         task::{Context, Poll},
+        time::Duration,
     },
-    tokio::time::{Instant, Sleep, sleep_until},
+    tokio::time::{Instant, Sleep, sleep, sleep_until},
 };
 
+/// Time for which a broken stream waits for a server with capacity; callers wait longer for an event.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
+/// Delay before a server is looked for again.
+const RESUME_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// A request that is sent to resume a stream.
 pub type Resuming = Pin<Box<dyn Future<Output = Result<ForwardedResponse, Problem>>>>;
 
@@ -139,6 +146,28 @@
     }
 }
 
+/// Sends a request to resume a broken stream after `last_event`, once a server has capacity.
+pub fn resume(
+    core: &Rc<Core>,
+    job: &Rc<Job>,
+    attempts: &Rc<Attempts>,
+    last_event: Option<String>,
+) -> Resuming {
+    let (core, job, attempts) = (Rc::clone(core), Rc::clone(job), Rc::clone(attempts));
+    Box::pin(async move {
+        let wait_until = Instant::now() + MAX_RESUME_WAIT;
+        let placement = loop {
+            match place(&core, &job, &attempts).await {
+                Ok(placement) => break placement,
+                Err(problem) if Instant::now() >= wait_until => return Err(problem),
+                Err(_) => sleep(RESUME_RETRY_DELAY).await,
+            }
+        };
+        let last_event = last_event.as_deref();
+        dispatch(&core, &job, &attempts, last_event, Some(placement)).await
+    })
+}
+
 /// Returns the exchange of a response that resumes a stream of this kind, or why there is none.
 pub fn exchange_of(
     result: Result<ForwardedResponse, Problem>,
--- a/crates/relay/src/forward/stream.rs
+++ b/crates/relay/src/forward/stream.rs
@@ -2,16 +2,17 @@
 
 use {
     super::{
-        admission::place,
         attempts::Attempts,
         body_end::BodyEnd,
         broken_stream::BrokenStream,
         buffering::on_not_kept,
-        dispatch::{dispatch, may_resume},
+        dispatch::may_resume,
+        event_framing::{EventFraming, UnsplitEvents},
         events::{EventSplitter, MAX_EVENT_BYTES},
         exchange::Exchange,
         job::Job,
-        standby::{Resuming, Standby, StandbyOutcome, StandbyProgress, exchange_of},
+        silence_timer::SilenceTimer,
+        standby::{Resuming, Standby, StandbyOutcome, StandbyProgress, exchange_of, resume},
         stream_kind::StreamKind,
         stream_timing::StreamTiming,
     },
@@ -26,22 +27,10 @@
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
-        time::Duration,
     },
-    tokio::time::{Instant, Sleep, sleep, sleep_until},
+    tokio::time::{Sleep, sleep_until},
 };
 
-/// Minimum time without an event before another server is asked to resume a resumable stream. An
-/// engine that repeats the prefill of a preempted request sends nothing for that long.
-const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1200);
-/// The same, as a multiple of the gap objective. The longer timeout applies.
-const SILENCE_GAP_FACTOR: u32 = 3;
-
-/// Time for which a broken stream waits for a server with capacity; callers wait longer for an event.
-const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
-/// Delay before a server is looked for again.
-const RESUME_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 enum State {
     Reading(Box<Exchange>),
     Resuming(Resuming),
@@ -57,17 +46,12 @@
     state: State,
     /// Resumption at another server while the present one is silent.
     standby: Option<Standby>,
-    /// Whether it is a stream of events.
-    has_events: bool,
-    splitter: Option<EventSplitter>,
+    framing: EventFraming,
     /// Whether it is recorded which version began the stream.
     is_pinned: bool,
-    last_bytes: [u8; 2],
-    /// Bytes forwarded since the last event that ended within one frame, if events are not split.
-    event_bytes: usize,
     timing: StreamTiming,
     deadline_timer: Pin<Box<Sleep>>,
-    silence_timer: Option<Pin<Box<Sleep>>>,
+    silence_timer: Option<SilenceTimer>,
 }
 
 impl StreamBody {
@@ -82,11 +66,17 @@
     ) -> Self {
         let has_events = job.route.retry_safety.is_stream() && kind.is_success();
         let is_resumable = has_events && job.route.retry_safety == RetrySafety::ResumableStream;
+        let framing = match (has_events, is_resumable) {
+            (false, _) => EventFraming::Opaque,
+            (true, false) => EventFraming::Unsplit(UnsplitEvents::default()),
+            (true, true) => {
+                let last_of_caller = job.take_up.and_then(|stream| stream.last_event);
+                EventFraming::Split(EventSplitter::after(last_of_caller, &core.kept))
+            }
+        };
         if !is_resumable {
             job.drop_body();
         }
-        let last_of_caller = job.take_up.and_then(|stream| stream.last_event);
-        let first_timeout = MIN_SILENCE_TIMEOUT.max(job.route.objective * 2);
         Self {
             core: Rc::clone(core),
             job: Rc::clone(job),
@@ -94,15 +84,11 @@
             kind,
             state: State::Reading(exchange),
             standby: None,
-            has_events,
-            splitter: is_resumable.then(|| EventSplitter::after(last_of_caller, &core.kept)),
+            framing,
             is_pinned: false,
-            last_bytes: [b'\n'; 2],
-            event_bytes: 0,
             timing: StreamTiming::default(),
             deadline_timer: Box::pin(sleep_until(job.deadline)),
-            silence_timer: is_resumable
-                .then(|| Box::pin(sleep_until(Instant::now() + first_timeout))),
+            silence_timer: is_resumable.then(|| SilenceTimer::start(&job.route)),
         }
     }
 
@@ -145,7 +131,7 @@
         &mut self,
         context: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
-        let (is_at_boundary, has_begun) = (self.is_at_boundary(), self.has_begun());
+        let (is_at_boundary, has_begun) = (self.framing.is_at_boundary(), self.has_begun());
         let State::Reading(exchange) = &mut self.state else {
             return Poll::Pending;
         };
@@ -221,9 +207,7 @@
         self.state = match progress {
             StandbyProgress::Asking(resuming) => State::Resuming(resuming),
             StandbyProgress::Answering(exchange) => {
-                if let Some(splitter) = &mut self.splitter {
-                    splitter.discard_partial();
-                }
+                self.framing.discard_partial();
                 self.reset_silence_timer();
                 State::Reading(exchange)
             }
@@ -238,7 +222,9 @@
         self.finish(ServerOutcome::Failure);
         let progress = match self.standby.take() {
             Some(standby) => standby.into_progress(),
-            None if self.may_go_on() && may_resume(&self.core, &self.job, &self.attempts) => {
+            None if self.framing.may_go_on()
+                && may_resume(&self.core, &self.job, &self.attempts) =>
+            {
                 StandbyProgress::Asking(self.resume())
             }
             None => return self.break_off(reason),
@@ -246,7 +232,7 @@
         log::info!(
             id = self.job.id.as_str(),
             reason = reason.as_str(),
-            after:? = self.splitter.as_ref().and_then(EventSplitter::last_id);
+            after:? = self.framing.last_id();
             "stream resumes at another server"
         );
         self.take_over(progress);
@@ -254,27 +240,12 @@
     }
 
     fn last_event(&self) -> Option<String> {
-        let last_id = self.splitter.as_ref().and_then(EventSplitter::last_id);
+        let last_id = self.framing.last_id();
         last_id.map(|id| id.to_string())
     }
 
     fn resume(&self) -> Resuming {
-        let core = Rc::clone(&self.core);
-        let job = Rc::clone(&self.job);
-        let attempts = Rc::clone(&self.attempts);
-        let last_event = self.last_event();
-        Box::pin(async move {
-            let wait_until = Instant::now() + MAX_RESUME_WAIT;
-            let placement = loop {
-                match place(&core, &job, &attempts).await {
-                    Ok(placement) => break placement,
-                    Err(problem) if Instant::now() >= wait_until => return Err(problem),
-                    Err(_) => sleep(RESUME_RETRY_DELAY).await,
-                }
-            };
-            let last_event = last_event.as_deref();
-            dispatch(&core, &job, &attempts, last_event, Some(placement)).await
-        })
+        resume(&self.core, &self.job, &self.attempts, self.last_event())
     }
 
     fn ask_standby(&self) -> Option<Standby> {
@@ -320,7 +291,7 @@
             server = server.map_or("-", |server| server.id.as_str()),
             version = server.map_or("-", |server| server.software_version.as_str()),
             body_end:? = exchange.body_end(),
-            last_event:? = self.splitter.as_ref().and_then(EventSplitter::last_id),
+            last_event:? = self.framing.last_id(),
             attempts = self.attempts.sent(),
             first_ms = millis(self.timing.first),
             objective_ms = millis(self.job.route.objective),
@@ -331,22 +302,12 @@
     }
 
     fn split(&mut self, data: Bytes) -> Bytes {
-        if let Some(splitter) = &mut self.splitter {
-            let was_cut = splitter.is_passed_on_in_part();
-            let forwarded = splitter.push(&data);
-            if splitter.is_passed_on_in_part() && !was_cut {
-                on_not_kept(&self.core, &self.job, "event_passed_on", forwarded.len());
-            }
-            return forwarded;
-        }
-        match data.windows(2).rposition(|bytes| bytes == b"\n\n") {
-            Some(offset) => self.event_bytes = data.len() - offset - 2,
-            None => self.event_bytes += data.len(),
+        let was_cut = self.framing.is_passed_on_in_part();
+        let forwarded = self.framing.push(data);
+        if self.framing.is_passed_on_in_part() && !was_cut {
+            on_not_kept(&self.core, &self.job, "event_passed_on", forwarded.len());
         }
-        for byte in &data[data.len().saturating_sub(2)..] {
-            self.last_bytes = [self.last_bytes[1], *byte];
-        }
-        data
+        forwarded
     }
 
     /// Returns why the event that is read is given up, if it is.
@@ -354,35 +315,17 @@
         if !matches!(self.state, State::Reading(_)) {
             return None;
         }
-        let event_bytes = match &self.splitter {
-            Some(splitter) if splitter.is_beyond_share() => {
-                let kept_bytes = splitter.event_bytes();
-                on_not_kept(&self.core, &self.job, "event_given_up", kept_bytes);
-                return Some("an event without an id exceeds the memory for responses");
-            }
-            Some(splitter) => splitter.event_bytes(),
-            None if self.has_events => self.event_bytes,
-            None => 0,
-        };
-        (event_bytes > MAX_EVENT_BYTES).then_some("an event exceeds its maximum length")
-    }
-
-    /// Whether another server may go on with the stream: the caller has no part of an event.
-    fn may_go_on(&self) -> bool {
-        let splitter = self.splitter.as_ref();
-        splitter.is_some_and(|splitter| !splitter.is_passed_on_in_part())
-    }
-
-    fn is_at_boundary(&self) -> bool {
-        match &self.splitter {
-            Some(splitter) => splitter.is_at_boundary(),
-            None => !self.has_events || self.last_bytes == *b"\n\n",
+        let event_bytes = self.framing.event_bytes();
+        if self.framing.is_beyond_share() {
+            on_not_kept(&self.core, &self.job, "event_given_up", event_bytes);
+            return Some("an event without an id exceeds the memory for responses");
         }
+        (event_bytes > MAX_EVENT_BYTES).then_some("an event exceeds its maximum length")
     }
 
     /// Records which version began the stream, or goes on with it: no other may.
     fn pin_version(&mut self) {
-        let is_due = !self.is_pinned && self.splitter.is_some();
+        let is_due = !self.is_pinned && matches!(self.framing, EventFraming::Split(_));
         if let State::Reading(exchange) = &self.state
             && let Some(server) = exchange.server().filter(|_| is_due)
         {
@@ -395,14 +338,14 @@
     }
 
     fn is_silent(&mut self, context: &mut Context) -> bool {
-        let may_go_on = self.may_go_on();
+        let may_go_on = self.framing.may_go_on();
         let Some(silence_timer) = &mut self.silence_timer else {
             return false;
         };
         may_go_on
             && self.attempts.sent() < self.job.route.max_attempts
             && !streams::is_doubtful(&self.core, self.job.stream_key())
-            && silence_timer.as_mut().poll(context).is_ready()
+            && silence_timer.poll(context).is_ready()
     }
 
     fn on_activity(&mut self) {
@@ -412,9 +355,7 @@
 
     fn reset_silence_timer(&mut self) {
         if let Some(silence_timer) = &mut self.silence_timer {
-            let timeout =
-                MIN_SILENCE_TIMEOUT.max(self.job.route.gap_objective * SILENCE_GAP_FACTOR);
-            silence_timer.as_mut().reset(Instant::now() + timeout);
+            silence_timer.reset();
         }
     }
 }
