--- a/test.sh
+++ b/test.sh
@@ -21,21 +21,16 @@
 soak() {
     cargo run --release --quiet --bin baobab-soak -- "$@"
 }
-# Servers that start again as another software version are in KNOWN-RED.txt; see below.
-soak --regressions platform/soak/regressions.txt --without-upgrades
-soak --seed 1 --seconds 8 --without-upgrades
+soak --regressions platform/soak/regressions.txt
+soak --seed 1 --seconds 8
 # Servers fail while routers end, so that the budget of repeats is used up.
 soak --seed 44003 --seconds 12 --failures-only
 # With twelve or more routers, only a few read the store's tables, on behalf of all.
-soak --seed 400 --seconds 8 --routers 14 --callers 2 --without-upgrades
+soak --seed 400 --seconds 8 --routers 14 --callers 2
 # With more than twenty routers, the owners of servers are asked for their load.
-soak --seed 420 --seconds 8 --routers 24 --callers 2 --without-upgrades
+soak --seed 420 --seconds 8 --routers 24 --callers 2
 
 for name in "${red[@]+"${red[@]}"}"; do
     echo "known red: $name"
     cargo test --release --workspace -- --exact "$name" || true
 done
-
-echo "known red: baobab-soak with servers that start again as another version"
-soak --regressions platform/soak/regressions.txt || true
-soak --seed 420 --seconds 8 --routers 24 --callers 2 || true
