--- a/crates/relay/src/forward/end_check.rs
+++ b/crates/relay/src/forward/end_check.rs
@@ -8,9 +8,12 @@
     crate::core::Core,
     baobab_place::{ConnectionLimits, Server},
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, timeout_at},
+    tokio::time::{Instant, sleep, timeout_at},
 };
 
+/// Time after which the server is asked. A process that ends may close its connections one after the other,
+/// and answer on those that are still open.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Time allowed for the answer. A sound server may be silent for about a second.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time that is left to pass a response on that ends just before its deadline.
@@ -35,6 +38,7 @@
 pub async fn runs_on(core: Rc<Core>, ended: EndedResponse) -> bool {
     let since = core.now();
     let check = async {
+        sleep(SETTLE_TIME).await;
         // The process at the other end of an older connection is the one that sent the response.
         if is_open_on_idle(&core, &ended).await {
             return true;
