--- /dev/null
+++ b/crates/overload/src/lib.rs
@@ -0,0 +1,9 @@
+//! Overload of the router's own processor: how it is detected, and which requests are refused because of it.
+
+mod arrivals;
+mod overload;
+
+pub use {
+    arrivals::{Arrivals, Counts},
+    overload::Overload,
+};
--- a/crates/relay/tests/overload.rs
+++ b/crates/overload/tests/overload.rs
@@ -1,7 +1,7 @@
 //! An overloaded router reports the overload, then refuses streams.
 
 use {
-    baobab_relay::Overload,
+    baobab_overload::Overload,
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::time::Duration,
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -213,7 +213,11 @@
     let is_shed = core.sheds_to_others()
         && !job.is_late
         && overload.sheds_stream(is_modest, core.random_fraction());
-    if !is_shed && !overload.refuses_streams(is_modest) {
+    let is_refused = is_shed || overload.refuses_streams(is_modest);
+    core.arrivals
+        .borrow_mut()
+        .on_request(job.workspace(), is_refused);
+    if !is_refused {
         return Ok(());
     }
     Err(refuse_to_other_router(core, job, Reason::Overloaded))
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -7,7 +7,6 @@
         gossip::{GossipSocket, Outbox, PeerDirectory},
         header_codec::HeaderCodec,
         metrics::Metrics,
-        overload::Overload,
         owners::Owners,
         pool::ConnectionPool,
         retries::Retries,
@@ -16,6 +15,7 @@
         shared_tables::TABLES,
         streams::Streams,
     },
+    baobab_overload::{Arrivals, Overload},
     baobab_place::{PartDirectory, Peers, Placer, Registry, ServerKey, Shares},
     baobab_routing::{ActiveConfiguration, Configuration, ConfirmationState},
     baobab_watch::suspension_clock,
@@ -96,6 +96,8 @@
     pub kill_at: Cell<Option<Instant>>,
     /// Detects processor overload from timer delays.
     pub overload: RefCell<Overload>,
+    /// Requests by workspace, for the logs of an overload.
+    pub arrivals: RefCell<Arrivals>,
     /// When this router, being overloaded, last asked for the loads of some servers.
     pub sampled_at: Cell<Duration>,
     /// Open connections of callers.
@@ -147,6 +149,7 @@
             phase: Cell::new(Phase::Serving),
             kill_at: Cell::new(None),
             overload: RefCell::new(Overload::default()),
+            arrivals: RefCell::default(),
             sampled_at: Cell::default(),
             connections: Cell::new(0),
             in_flight: Cell::new(0),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,7 +19,6 @@
 mod loads;
 mod metrics;
 mod operators;
-mod overload;
 mod owners;
 mod pace;
 mod pool;
@@ -49,7 +48,6 @@
     idle_connections::{ConnectionReuse, Idle, IdleBounds, IdleConnections, excess_idle_time},
     idle_limits::{IdleLimits, IdleTimes},
     idle_timeout::ObservedIdleTimeout,
-    overload::Overload,
     owners::{OwnerReport, OwnerReports, Owners, group_by_owner},
     relay::{Handle, spawn},
     settings::{Bounds, Settings},
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -57,6 +57,8 @@
     pub cold_servers: IntGauge,
     /// Evacuated failure domains.
     pub evacuated_domains: IntGauge,
+    /// Requests with a prompt that are refused unread because of the router's load, in percent.
+    pub shed_percent: IntGauge,
 }
 
 impl Metrics {
@@ -95,6 +97,10 @@
             "baobab_quarantined_parts",
             "Prompt parts and requests that crash servers and are refused.",
         );
+        let shed_percent = gauge(
+            "baobab_shed_percent",
+            "Requests that are refused unread because of the router's load, in percent.",
+        );
         let [limited_servers, cold_servers, evacuated_domains] = availability_gauges(gauge);
         let stream_writes = IntCounter::new(
             "baobab_stream_record_writes_total",
@@ -157,6 +163,7 @@
             limited_servers,
             cold_servers,
             evacuated_domains,
+            shed_percent,
             registry,
         }
     }
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -11,7 +11,7 @@
     },
     baobab_place::{CACHE_LIFETIME, PeerReport, ReportedParts},
     baobab_routing::Confirmation,
-    baobab_unit::{millis, to_u32},
+    baobab_unit::{id_of, millis, to_u32},
     baobab_watch::suspension_clock,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -23,6 +23,8 @@
 const TABLES_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of expiry of old state.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of reports of the requests that are refused because of this router's load.
+const REFUSALS_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum prompt parts per datagram, so that no link fragments it.
 const MAX_PARTS: usize = 24;
 /// Maximum servers per datagram to which connections were lost, for the same reason.
@@ -60,6 +62,7 @@
     let mut rates = Periodic::every(RATES_INTERVAL);
     let mut tables = Periodic::every(TABLES_INTERVAL);
     let mut expiry = Periodic::every(EXPIRY_INTERVAL);
+    let mut refusals = Periodic::every(REFUSALS_INTERVAL);
     let mut broadcast = Periodic::every(Duration::ZERO);
     loop {
         let asks_owners = loads::asks_owners(&core);
@@ -82,6 +85,9 @@
             refill_shares(&core, now);
             streams::tick(&core);
         }
+        if refusals.is_due(now) {
+            log_refusals(&core);
+        }
         if expiry.is_due(now) {
             expire(&core, &pace, asks_owners, now);
         }
@@ -213,7 +219,11 @@
 
 fn record_delay(core: &Core, delay: Duration, now: Duration) {
     let mut overload = core.overload.borrow_mut();
-    if overload.on_delay(delay, now) {
+    let has_changed = overload.on_delay(delay, now);
+    #[allow(clippy::cast_possible_truncation)]
+    let shed_percent = (overload.shed_fraction() * 100.0) as i64;
+    core.metrics.shed_percent.set(shed_percent);
+    if has_changed {
         log::warn!(
             is_crowded = overload.is_overloaded(),
             mean_delay_ms = millis(overload.mean_delay()),
@@ -223,6 +233,35 @@
     }
 }
 
+/// Logs whose requests were refused because of this router's load, beside what their workspaces get over all
+/// routers.
+fn log_refusals(core: &Core) {
+    let report = core.arrivals.borrow_mut().take_report();
+    if report.is_empty() {
+        return;
+    }
+    let (configuration, _) = core.configuration();
+    let keys = configuration.as_ref().and_then(|it| it.keys.as_ref());
+    let shed_percent = core.metrics.shed_percent.get();
+    let shares = core.shares.borrow();
+    for (workspace, counts) in report {
+        let name = keys
+            .and_then(|keys| keys.values().find(|it| id_of(&it.name) == workspace))
+            .map_or("-", |it| it.name.as_str());
+        let basis = shares.basis(workspace);
+        log::info!(
+            workspace = name,
+            arrived = counts.arrived,
+            refused = counts.refused,
+            shed_percent,
+            share = basis.share,
+            requested = basis.total.requested,
+            served = basis.total.served;
+            "requests are refused unread because of this router's load"
+        );
+    }
+}
+
 fn refill_shares(core: &Core, now: Duration) {
     let capacity = core
         .active_configuration
