--- a/crates/place/tests/fairness/jumps.rs
+++ b/crates/place/tests/fairness/jumps.rs
@@ -9,7 +9,7 @@
 };
 
 /// Routers with a small part of a core each.
-fn conditions() -> Conditions {
+pub fn conditions() -> Conditions {
     Conditions {
         kinds: SITE_KINDS,
         crash: Some(Crash {
@@ -39,7 +39,7 @@
 /// A flood through three routers, a smaller demand through two others, and demands through all, which
 /// grow with the fleet.
 #[allow(clippy::cast_precision_loss)]
-fn scenario(routers: u32, flood_mega_tokens_per_s: f64, conditions: Conditions) -> Scenario {
+pub fn scenario(routers: u32, flood_mega_tokens_per_s: f64, conditions: Conditions) -> Scenario {
     let scale = f64::from(routers) / 90.0;
     let demand = |mega_tokens_per_s: f64, routers: (usize, usize)| Demand {
         tokens_per_s: mega_tokens_per_s * 1e6,
@@ -76,6 +76,24 @@
         .collect()
 }
 
+/// Plays the seeds at the same time. Returns all findings.
+pub fn unfair_plays(scenario: &Scenario, seeds: u64) -> Vec<String> {
+    thread::scope(|scope| {
+        let plays: Vec<_> = (1..=seeds)
+            .map(|seed| scope.spawn(move || (seed, play(scenario, seed).unfair())))
+            .collect();
+        plays
+            .into_iter()
+            .flat_map(|play| {
+                let (seed, found) = play.join().unwrap();
+                found
+                    .into_iter()
+                    .map(move |found| format!("seed {seed}: {found}"))
+            })
+            .collect()
+    })
+}
+
 /// Returns the conditions of plays that show what a finding hinges on.
 fn variants() -> Vec<(&'static str, Conditions)> {
     let base = conditions();
--- a/crates/place/tests/fairness/main.rs
+++ b/crates/place/tests/fairness/main.rs
@@ -1,6 +1,7 @@
 //! Workspaces that reach few or all routers of a large fleet, under twice the load that its engines
 //! serve.
 
+mod few_routers;
 mod jumps;
 mod support;
 
--- a/crates/place/tests/fairness/support/conditions.rs
+++ b/crates/place/tests/fairness/support/conditions.rs
@@ -84,11 +84,6 @@
     pub(super) fn mean_claim(&self) -> f64 {
         self.weight * (self.mean_prompt_tokens + 2.0 * self.output_tokens as f64)
     }
-
-    /// Returns whether its responses are streams.
-    pub(super) fn is_stream(&self) -> bool {
-        self.output_tokens > 100
-    }
 }
 
 /// A crash of a fraction of the engines, which start again later.
--- a/crates/place/tests/fairness/support/mod.rs
+++ b/crates/place/tests/fairness/support/mod.rs
@@ -12,6 +12,7 @@
 };
 
 use {
+    baobab_overload::Overload,
     baobab_place::{
         AdmissionClass, CallerAttempt, Load, Placement, PlacementRequest, Placer, Prompt,
         RatesByWorkspace, ServerKey, Shares, VersionBound,
@@ -50,9 +51,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Backlog of a router from which on it counts as overloaded.
 const OVERLOAD_BACKLOG: Duration = Duration::from_millis(60);
-/// Mean delays of a router above which it refuses streams of limited workspaces, and all.
-const HIGH_DELAY: Duration = Duration::from_millis(120);
-const SEVERE_DELAY: Duration = Duration::from_millis(300);
+/// Time from a refusal by an overloaded router to the return of the caller.
+const OTHER_ROUTER_DELAY: Duration = Duration::from_millis(90);
+/// Minimum fraction of its timeout that a caller has left at its first attempt, as in the relay.
+const FIRST_ATTEMPT_TIMEOUT_FRACTION: f64 = 0.845;
 /// Processor time that a router takes to refuse a stream unread.
 const REFUSAL_TIME: Duration = Duration::from_millis(1);
 /// Time after which a connection is refused.
@@ -103,6 +105,14 @@
     has_begun: bool,
 }
 
+impl Request {
+    /// Whether its response will be late, since the caller was refused before.
+    fn is_late(&self, now: Duration) -> bool {
+        let timeout = Duration::from_millis(self.kind.timeout_ms);
+        self.deadline.saturating_sub(now) < timeout.mul_f64(FIRST_ATTEMPT_TIMEOUT_FRACTION)
+    }
+}
+
 /// A request at an engine.
 #[derive(Debug)]
 struct Sent {
@@ -138,8 +148,7 @@
     own: BTreeMap<ServerKey, Load>,
     asked_at: Duration,
     busy_until: Duration,
-    mean_delay: Duration,
-    overloaded_since: Option<Duration>,
+    overload: Overload,
 }
 
 struct Simulation {
@@ -178,8 +187,7 @@
                 own: BTreeMap::new(),
                 asked_at: Duration::ZERO,
                 busy_until: Duration::ZERO,
-                mean_delay: Duration::ZERO,
-                overloaded_since: None,
+                overload: Overload::default(),
             })
             .collect();
         let mut simulation = Self {
@@ -370,21 +378,23 @@
             }
             return self.refuse(request);
         }
-        let max_delay = if is_modest { SEVERE_DELAY } else { HIGH_DELAY };
-        if conditions.refuses_unread && request.kind.is_stream() && router.mean_delay > max_delay {
+        let is_late = request.is_late(now);
+        let random_fraction = self.random.random();
+        let is_shed = !is_late && router.overload.sheds_stream(is_modest, random_fraction);
+        if conditions.refuses_unread && (is_shed || router.overload.refuses_streams(is_modest)) {
             router.busy_until = router.busy_until.max(now) + REFUSAL_TIME;
             if conditions.variant == Variant::UnreadCounted && !request.is_retry {
                 router.shares.claim(request.workspace, tokens);
             }
-            return self.refuse(request);
+            return self.refuse_after(request, OTHER_ROUTER_DELAY);
         }
         router.busy_until = router.busy_until.max(now) + conditions.read_time;
         let is_overloaded = if conditions.keeps_overload {
-            router.overloaded_since.is_some()
+            router.overload.is_overloaded()
         } else {
             wait > OVERLOAD_BACKLOG
         };
-        if !request.is_retry || is_overloaded && conditions.variant != Variant::UnreadCounted {
+        if !is_late || is_overloaded && conditions.variant != Variant::UnreadCounted {
             router.shares.claim(request.workspace, tokens);
         }
         self.at(wait, Event::Place(Box::new(request), 0));
@@ -395,7 +405,7 @@
         let router = &self.routers[request.router];
         let backlog = router.busy_until.saturating_sub(self.now);
         let is_overloaded = if conditions.keeps_overload {
-            router.overloaded_since.is_some()
+            router.overload.is_overloaded()
         } else {
             backlog > OVERLOAD_BACKLOG
         };
@@ -413,7 +423,7 @@
 
     fn admission_class(&self, request: &Request) -> AdmissionClass {
         let conditions = &self.scenario.conditions;
-        let attempt = if request.is_retry && conditions.variant != Variant::LateAsFirst {
+        let attempt = if request.is_late(self.now) && conditions.variant != Variant::LateAsFirst {
             CallerAttempt::Late
         } else {
             CallerAttempt::First
@@ -558,12 +568,16 @@
     }
 
     fn refuse(&mut self, request: Request) {
+        let time_left = request.deadline.saturating_sub(self.now);
+        self.refuse_after(request, time_left.mul_f64(RETRY_FRACTION));
+    }
+
+    /// Refuses a request, whose caller returns after `delay`.
+    fn refuse_after(&mut self, request: Request, delay: Duration) {
         self.second(request.workspace).refused += 1;
         if request.is_retry {
             return;
         }
-        let time_left = request.deadline.saturating_sub(self.now);
-        let delay = time_left.mul_f64(RETRY_FRACTION);
         let (first, count) = self.scenario.demands[request.workspace as usize].routers;
         let routers: Vec<usize> = (first..first + count).collect();
         let retry = Request {
--- a/crates/place/tests/fairness/support/trouble.rs
+++ b/crates/place/tests/fairness/support/trouble.rs
@@ -12,26 +12,12 @@
 
 /// Rates of a demand that jumps, relative to its mean.
 const LEVELS: [f64; 4] = [0.1, 0.6, 1.3, 2.0];
-/// Weight of the newest delay in a router's mean delay.
-const NEWEST_WEIGHT: f64 = 0.2;
-const RECOVERED_DELAY: Duration = Duration::from_millis(15);
-const MIN_OVERLOAD_TIME: Duration = Duration::from_secs(3);
 
 impl Router {
     /// Records how late the router's timer fires, as the relay does.
     pub(super) fn observe_delay(&mut self, now: Duration) {
         let delay = self.busy_until.saturating_sub(now);
-        self.mean_delay =
-            self.mean_delay.mul_f64(1.0 - NEWEST_WEIGHT) + delay.mul_f64(NEWEST_WEIGHT);
-        match self.overloaded_since {
-            None if self.mean_delay > OVERLOAD_BACKLOG => self.overloaded_since = Some(now),
-            Some(since)
-                if self.mean_delay < RECOVERED_DELAY && now >= since + MIN_OVERLOAD_TIME =>
-            {
-                self.overloaded_since = None;
-            }
-            _ => {}
-        }
+        self.overload.on_delay(delay, now);
     }
 }
 
