--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod arrivals;
 mod overload;
+mod shedding;
 
 pub use {
     arrivals::{Arrivals, Counts},
     overload::Overload,
+    shedding::{Arrival, Shedding},
 };
--- a/crates/overload/src/overload.rs
+++ b/crates/overload/src/overload.rs
@@ -12,9 +12,10 @@
 /// Mean timer delay above which new connections should go to other routers: a large part of the
 /// shortest usual latency objective.
 const OVERLOAD_DELAY: Duration = Duration::from_millis(60);
-/// Mean delay above which streams of workspaces that request more than their share are refused.
+/// Mean delay above which the requests of workspaces are refused that exceed their part of the router's time.
 const HIGH_DELAY: Duration = Duration::from_millis(120);
-/// Mean delay above which all streams are refused: less than half of a usual objective is left.
+/// Mean delay above which those that are not owed to their workspace are refused, too: less than half of a usual
+/// objective is left.
 const SEVERE_DELAY: Duration = Duration::from_millis(300);
 /// Mean delay below which the overload ends.
 const RECOVERED_DELAY: Duration = Duration::from_millis(15);
@@ -28,7 +29,7 @@
 /// Minimum utilisation that is left to streams while work is waiting.
 const MIN_SHED_UTILISATION: f64 = 0.1;
 /// Weight of the newest estimate in the shed fraction. One late timer alone may have other causes.
-const SHED_WEIGHT: f64 = 0.5;
+const SHED_WEIGHT: f64 = 0.85;
 /// Factor on the shed fraction with each timer within the target delay.
 const SHED_DECAY: f64 = 0.8;
 /// Fraction below which nothing is shed.
@@ -90,18 +91,6 @@
         self.shed_fraction
     }
 
-    /// Whether a stream is refused so that another router serves it. `random_fraction` in `0.0..1.0` chooses
-    /// which; those of workspaces that request more than their share come first.
-    #[must_use]
-    pub fn sheds_stream(&self, is_modest: bool, random_fraction: f64) -> bool {
-        let probability = if is_modest {
-            2.0 * self.shed_fraction - 1.0
-        } else {
-            2.0 * self.shed_fraction
-        };
-        random_fraction < probability
-    }
-
     /// Whether so much is shed, or was a moment ago, that new connections should go to other routers.
     #[must_use]
     pub fn sheds_connections(&self, now: Duration) -> bool {
@@ -158,10 +147,12 @@
         (!self.is_overloaded()).then(|| elapsed.saturating_sub(self.mean_delay))
     }
 
-    /// Whether streams are refused. Workspaces within their share (`is_modest`) are refused only at
-    /// a higher delay.
+    /// Whether a request is refused for the mean delay. `exceeds_part` says whether its workspace sends more than its
+    /// part of what this router has time for, `is_owed` whether it gets less than it is owed over all routers, or
+    /// requests less than its share.
     #[must_use]
-    pub fn refuses_streams(&self, is_modest: bool) -> bool {
-        self.mean_delay > if is_modest { SEVERE_DELAY } else { HIGH_DELAY }
+    pub fn refuses(&self, exceeds_part: bool, is_owed: bool) -> bool {
+        (exceeds_part && self.mean_delay > HIGH_DELAY)
+            || (!is_owed && self.mean_delay > SEVERE_DELAY)
     }
 }
--- a/crates/place/src/shares.rs
+++ b/crates/place/src/shares.rs
@@ -163,6 +163,23 @@
         }
     }
 
+    /// Returns whether a workspace requests less than its share, or is behind what it is owed.
+    #[must_use]
+    pub fn is_owed(&self, workspace: WorkspaceId) -> bool {
+        self.accounts
+            .get(&workspace)
+            .is_none_or(|account| !account.is_limited || account.is_underserved)
+    }
+
+    /// Returns what a workspace is served over all routers, as a fraction of what it is owed: its share, or all
+    /// that it requests if that is less. One if it requests nothing here.
+    #[must_use]
+    pub fn served_fraction(&self, workspace: WorkspaceId) -> f64 {
+        self.accounts.get(&workspace).map_or(1.0, |account| {
+            account.total.served / account.total.requested.min(self.share).max(MIN_RATE)
+        })
+    }
+
     fn on_time_class(&self, workspace: WorkspaceId) -> AdmissionClass {
         let Some(account) = self.accounts.get(&workspace) else {
             return AdmissionClass::Modest;
--- a/crates/place/tests/fairness/support/trouble.rs
+++ b/crates/place/tests/fairness/support/trouble.rs
@@ -18,6 +18,7 @@
     pub(super) fn observe_delay(&mut self, now: Duration) {
         let delay = self.busy_until.saturating_sub(now);
         self.overload.on_delay(delay, now);
+        self.shedding.update(self.overload.shed_fraction());
     }
 }
 
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -9,7 +9,7 @@
         },
         header_codec::RequestHeaders,
     },
-    baobab_place::{AdmissionClass, CallerAttempt},
+    baobab_overload::Arrival,
     baobab_quarantine::RequestKey,
     baobab_routing::{Configuration, ConfirmationState, Route, find_route},
     baobab_unit::id_of,
@@ -198,29 +198,32 @@
     Err(refuse_to_other_router(core, job, Reason::Stopping))
 }
 
-/// Refuses streams at an overloaded router, since other routers can still serve them on time.
+/// Refuses streams and requests to engines at an overloaded router, since other routers can still serve them on time.
 fn check_overload(core: &Core, job: &Job) -> Result<(), Problem> {
-    let is_modest = job.caller.as_ref().is_none_or(|caller| {
-        core.shares
-            .borrow()
-            .admission_class(caller.workspace, CallerAttempt::First)
-            == AdmissionClass::Modest
-    });
-    if !job.route.retry_safety.is_stream() {
+    if !job.route.retry_safety.is_stream() && job.engine.is_none() {
         return Ok(());
     }
-    let overload = core.overload.borrow();
-    let is_shed = core.sheds_to_others()
-        && !job.is_late
-        && overload.sheds_stream(is_modest, core.random_fraction());
-    let is_refused = is_shed || overload.refuses_streams(is_modest);
-    core.arrivals
-        .borrow_mut()
-        .on_request(job.workspace(), is_refused);
-    if !is_refused {
-        return Ok(());
+    let workspace = job.workspace();
+    let arrival = {
+        let shares = core.shares.borrow();
+        Arrival {
+            workspace,
+            is_late: job.is_late,
+            is_owed: shares.is_owed(workspace),
+            served_fraction: shares.served_fraction(workspace),
+        }
+    };
+    let is_refused = core.shedding.borrow_mut().refuses(
+        arrival,
+        &core.overload.borrow(),
+        core.sheds_to_others(),
+        core.random_fraction(),
+    );
+    core.arrivals.borrow_mut().on_request(workspace, is_refused);
+    if is_refused {
+        return Err(refuse_to_other_router(core, job, Reason::Overloaded));
     }
-    Err(refuse_to_other_router(core, job, Reason::Overloaded))
+    Ok(())
 }
 
 /// Refuses a request with a short delay, since another router can serve it now.
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -15,7 +15,7 @@
         shared_tables::TABLES,
         streams::Streams,
     },
-    baobab_overload::{Arrivals, Overload},
+    baobab_overload::{Arrivals, Overload, Shedding},
     baobab_place::{PartDirectory, Peers, Placer, Registry, ServerKey, Shares},
     baobab_routing::{ActiveConfiguration, Configuration, ConfirmationState},
     baobab_watch::suspension_clock,
@@ -96,6 +96,8 @@
     pub kill_at: Cell<Option<Instant>>,
     /// Detects processor overload from timer delays.
     pub overload: RefCell<Overload>,
+    /// Whose requests are refused during an overload.
+    pub shedding: RefCell<Shedding>,
     /// Requests by workspace, for the logs of an overload.
     pub arrivals: RefCell<Arrivals>,
     /// When this router, being overloaded, last asked for the loads of some servers.
@@ -149,6 +151,7 @@
             phase: Cell::new(Phase::Serving),
             kill_at: Cell::new(None),
             overload: RefCell::new(Overload::default()),
+            shedding: RefCell::default(),
             arrivals: RefCell::default(),
             sampled_at: Cell::default(),
             connections: Cell::new(0),
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -223,6 +223,7 @@
     #[allow(clippy::cast_possible_truncation)]
     let shed_percent = (overload.shed_fraction() * 100.0) as i64;
     core.metrics.shed_percent.set(shed_percent);
+    core.shedding.borrow_mut().update(overload.shed_fraction());
     if has_changed {
         log::warn!(
             is_crowded = overload.is_overloaded(),
