--- a/crates/place/tests/fairness/support/mod.rs
+++ b/crates/place/tests/fairness/support/mod.rs
@@ -49,6 +49,8 @@
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which a router waits for answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Interval at which an overloaded router asks for the loads of a sample, as in the relay.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
 /// Backlog of a router from which on it counts as overloaded.
 const OVERLOAD_BACKLOG: Duration = Duration::from_millis(60);
 /// Time from a refusal by an overloaded router to the return of the caller.
@@ -480,8 +482,8 @@
             connected: None,
         };
         let sample = router.placer.sample(&placement_request, round, now).ok()?;
-        // An overloaded router asks some ten times a second, and does not wait.
-        let asks = !is_overloaded || now >= router.asked_at + TICK;
+        // An overloaded router asks now and then, and does not wait.
+        let asks = !is_overloaded || now >= router.asked_at + SAMPLE_INTERVAL;
         let is_late = router.busy_until.saturating_sub(now) > ANSWER_TIMEOUT;
         let mut answers = Vec::new();
         if asks {
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -37,7 +37,7 @@
 const SAMPLE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which an overloaded router asks for the loads of some servers, by which it estimates
 /// those of all others.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
 /// Maximum prompt parts per datagram.
 const MAX_PARTS: usize = 48;
 
