--- a/crates/overload/src/overload.rs
+++ b/crates/overload/src/overload.rs
@@ -1,7 +1,7 @@
 //! Detects overload of the router's own processor.
 //!
 //! A balancer may send one router many times its part of the traffic. Such a router reports that
-//! it is not ready, so that new connections go to other routers, and refuses streams at once
+//! it is not ready, so that new connections go to other routers, and refuses requests at once
 //! instead of serving them late. In a large fleet it refuses a part of them earlier, as many as keep its
 //! delay short, since other routers have time for them.
 
@@ -12,7 +12,7 @@
 /// Mean timer delay above which new connections should go to other routers: a large part of the
 /// shortest usual latency objective.
 const OVERLOAD_DELAY: Duration = Duration::from_millis(60);
-/// Mean delay above which the requests of workspaces are refused that exceed their part of the router's time.
+/// Mean delay above which the requests of workspaces that exceed their part of the router's time are refused.
 const HIGH_DELAY: Duration = Duration::from_millis(120);
 /// Mean delay above which those that are not owed to their workspace are refused, too: less than half of a usual
 /// objective is left.
--- a/crates/overload/src/shedding.rs
+++ b/crates/overload/src/shedding.rs
@@ -1,8 +1,9 @@
 //! Which requests an overloaded router refuses unread, by workspace.
 //!
-//! The callers of some workspaces reach many routers, those of others only a few. A flood would take the time of
-//! such a router from all others there if it refused the same fraction of everyone's requests. So the requests that it has time for are
-//! divided by max-min fairness: workspaces that send less than an even part are not refused at all.
+//! The callers of some workspaces reach many routers, those of others only a few. If a router refused the same
+//! fraction of everyone's requests, a flood would take its time from the other workspaces there. So the requests
+//! that it has time for are divided by max-min fairness: workspaces that send less than an even part are not
+//! refused at all.
 
 use {crate::Overload, baobab_unit::WorkspaceId, std::collections::HashMap};
 
@@ -10,8 +11,8 @@
 const DECAY_PER_UPDATE: f64 = 0.1;
 /// Counted requests below which a workspace is forgotten.
 const MIN_REQUESTS: f64 = 0.05;
-/// Served fraction of what a workspace is owed below which its part grows no further. The fraction is a mean over seconds, and
-/// a flood that has just begun is far behind by it.
+/// Served fraction of what a workspace is owed below which its part grows no further. The fraction is a mean over
+/// seconds, so that a flood that has just begun seems far behind.
 const MIN_SERVED_FRACTION: f64 = 0.5;
 
 /// A request that arrives.
