--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -46,6 +46,7 @@
         if let Some(sample) = request.sample {
             servers.retain(|server| sample.contains(&server.key));
         }
+        self.count_examined(servers.len());
         let candidates = match request.prompt {
             Some(prompt) => {
                 let max_cached_tokens = source.map_or(0, |(_, cached_tokens)| cached_tokens);
@@ -82,6 +83,7 @@
         let mut untried: Vec<&Server> = Vec::new();
         let mut is_evacuated = false;
         for server in self.registry.usable(request.service) {
+            self.count_examined(1);
             let is_tried = request.tried.contains(&server.key);
             if is_tried || !request.versions.allows(&server.software_version) {
                 continue;
@@ -279,6 +281,7 @@
         prompt: &Prompt,
         servers: &[&'a Server],
     ) -> Option<(&'a Server, u64)> {
+        self.count_examined(servers.len());
         servers
             .iter()
             .map(|server| (*server, self.cached_tokens(server.key, prompt)))
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -10,6 +10,7 @@
     baobab_limit::Limits,
     baobab_unit::HostId,
     std::{
+        cell::Cell,
         collections::{BTreeSet, HashMap},
         time::Duration,
     },
@@ -78,6 +79,8 @@
     /// Mean load of each service's servers by the answers of their owners; empty in a fleet whose
     /// routers all report to this one.
     pub(crate) typical_loads: HashMap<String, TypicalLoad>,
+    /// Servers whose state was looked at for a choice.
+    pub(crate) examined: Cell<u64>,
 }
 
 /// Which used parts of a prompt are reported to other routers.
@@ -107,9 +110,20 @@
             out_of_step_at: None,
             fleet_size: 1,
             typical_loads: HashMap::new(),
+            examined: Cell::new(0),
         }
     }
 
+    /// Returns how many servers were examined for all choices so far, each as often as it was.
+    #[must_use]
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    pub(crate) fn count_examined(&self, servers: usize) {
+        self.examined.set(self.examined.get() + servers as u64);
+    }
+
     /// Sets the number of routers in a fleet in which not all of them report to this one.
     pub fn set_fleet_size(&mut self, fleet_size: usize) {
         self.fleet_size = fleet_size;
--- a/crates/relay/src/callers/connection.rs
+++ b/crates/relay/src/callers/connection.rs
@@ -9,7 +9,7 @@
     http::{Request, Version},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
-    std::{pin::Pin, rc::Rc, time::Duration},
+    std::{cell::Cell, pin::Pin, rc::Rc, time::Duration},
     tokio::{net::TcpStream, task::yield_now, time::sleep},
 };
 
@@ -33,6 +33,22 @@
     Abort,
 }
 
+/// Counts a connection as unread until it is dropped.
+struct UnreadGuard(Rc<Core>);
+
+impl UnreadGuard {
+    fn count(core: &Rc<Core>) -> Self {
+        core.metrics.load.unread_connections.inc();
+        Self(Rc::clone(core))
+    }
+}
+
+impl Drop for UnreadGuard {
+    fn drop(&mut self) {
+        self.0.metrics.load.unread_connections.dec();
+    }
+}
+
 /// Serves a connection until it ends.
 pub async fn run(core: Rc<Core>, stream: TcpStream) {
     if let Err(error) = baobab_client::configure_socket(&stream, USER_TIMEOUT) {
@@ -40,10 +56,12 @@
         return;
     }
     let activity = ConnectionActivity::new();
+    let unread = Cell::new(Some(UnreadGuard::count(&core)));
     let io = TokioIo::new(TrackedStream::new(stream, Rc::clone(&activity)));
     let service_core = Rc::clone(&core);
     let service_activity = Rc::clone(&activity);
     let service = service_fn(move |request: Request<Incoming>| {
+        unread.take();
         if request.version() == Version::HTTP_10 {
             service_activity.on_http_1_0();
         }
--- a/crates/relay/src/callers/listener.rs
+++ b/crates/relay/src/callers/listener.rs
@@ -4,7 +4,14 @@
     super::connection,
     crate::{core::Core, error::RelayError},
     socket2::{Domain, Socket, Type},
-    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{
+        future::{Future, poll_fn},
+        net::SocketAddr,
+        pin::pin,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{net::TcpListener, sync::Semaphore, time::sleep},
 };
 
@@ -32,6 +39,16 @@
 
 /// Accepts and serves callers until the task is dropped.
 pub async fn serve(core: Rc<Core>, listener: TcpListener) {
+    let turns = core.metrics.load.accept_turns.clone();
+    let mut accepting = pin!(accept(core, listener));
+    poll_fn(|context| {
+        turns.inc();
+        accepting.as_mut().poll(context)
+    })
+    .await;
+}
+
+async fn accept(core: Rc<Core>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(core.settings.max_connections));
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
@@ -40,6 +57,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let core = Rc::clone(&core);
+                core.metrics.load.accepted.inc();
                 core.connections.set(core.connections.get() + 1);
                 tokio::task::spawn_local(async move {
                     connection::run(Rc::clone(&core), stream).await;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -6,6 +6,7 @@
         forward::KeptMemory,
         gossip::{GossipSocket, Outbox, PeerDirectory},
         header_codec::HeaderCodec,
+        idle_time::IdleTime,
         metrics::Metrics,
         owners::Owners,
         pool::ConnectionPool,
@@ -102,6 +103,8 @@
     pub arrivals: RefCell<Arrivals>,
     /// When this router, being overloaded, last asked for the loads of some servers.
     pub sampled_at: Cell<Duration>,
+    /// How long the traffic thread has waited for work.
+    pub idle_time: IdleTime,
     /// Open connections of callers.
     pub connections: Cell<usize>,
     /// Requests in flight.
@@ -124,6 +127,7 @@
         shared: Shared,
         header_codec: Box<dyn HeaderCodec>,
         socket: GossipSocket,
+        idle_time: IdleTime,
     ) -> Self {
         let bounds = settings.bounds.clone();
         let placer = Placer::new(
@@ -154,6 +158,7 @@
             shedding: RefCell::default(),
             arrivals: RefCell::default(),
             sampled_at: Cell::default(),
+            idle_time,
             connections: Cell::new(0),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -66,6 +66,7 @@
             )
         };
         let asks_owners = loads::asks_owners(core);
+        core.metrics.load.placements.inc();
         let result = if asks_owners {
             loads::place(core, &request, round).await
         } else {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics.
 
 use {
-    crate::connection_metrics::ConnectionMetrics,
+    crate::{connection_metrics::ConnectionMetrics, load_metrics::LoadMetrics},
     prometheus::{
         Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
         TextEncoder,
@@ -39,6 +39,8 @@
     pub datagrams: IntCounterVec,
     /// Connections to servers.
     pub connections: ConnectionMetrics,
+    /// This router's own load.
+    pub load: LoadMetrics,
     /// Fetches of cached prompt parts between engines, by service.
     pub fetches: IntCounterVec,
     /// Seconds from a request's arrival to the first byte of its response.
@@ -146,6 +148,7 @@
                 &["outcome"],
             ),
             connections: ConnectionMetrics::new(&registry),
+            load: LoadMetrics::new(&registry),
             fetches: counter(
                 "baobab_cache_fetches_total",
                 "Fetches between engines.",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,6 +9,7 @@
         gossip::GossipSocket,
         header_codec::HeaderCodec,
         identity::Identity,
+        idle_time::IdleTime,
         limits, loads, operators, retries,
         settings::Settings,
         shared::Shared,
@@ -108,10 +109,10 @@
     commands: &Receiver<Command>,
     started: &Sender<Result<(), RelayError>>,
 ) -> Result<(), RelayError> {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(RelayError::Runtime)?;
+    let idle_time = IdleTime::new();
+    let mut builder = Builder::new_current_thread();
+    idle_time.observe(&mut builder);
+    let runtime = builder.enable_all().build().map_err(RelayError::Runtime)?;
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async {
         let callers = callers::bind(settings.caller_address)?;
@@ -120,7 +121,7 @@
         let socket = GossipSocket::bind(settings.gossip_address, id_of(&settings.host), identity)
             .await
             .map_err(|error| RelayError::Bind(settings.gossip_address, error))?;
-        let core = Rc::new(Core::new(settings, shared, header_codec, socket));
+        let core = Rc::new(Core::new(settings, shared, header_codec, socket, idle_time));
         availability::on_bounds(&core);
         tokio::task::spawn_local(callers::serve(Rc::clone(&core), callers));
         tokio::task::spawn_local(operators::serve(Rc::clone(&core), health));
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -5,13 +5,15 @@
         availability,
         core::Core,
         gossip::{GossipConfirmation, GossipMessage, PartUpdate, TableUpdate},
-        limits, loads,
+        limits,
+        load_report::LoadReport,
+        loads,
         pace::{Pace, RATES_INTERVAL, SHARES_INTERVAL},
         rates, retries, streams,
     },
     baobab_place::{CACHE_LIFETIME, PeerReport, ReportedParts},
     baobab_routing::Confirmation,
-    baobab_unit::{id_of, millis, to_u32},
+    baobab_unit::{millis, to_u32},
     baobab_watch::suspension_clock,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -23,8 +25,8 @@
 const TABLES_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of expiry of old state.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval of reports of the requests that are refused because of this router's load.
-const REFUSALS_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of reports of this router's load.
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum prompt parts per datagram, so that no link fragments it.
 const MAX_PARTS: usize = 24;
 /// Maximum servers per datagram to which connections were lost, for the same reason.
@@ -62,7 +64,8 @@
     let mut rates = Periodic::every(RATES_INTERVAL);
     let mut tables = Periodic::every(TABLES_INTERVAL);
     let mut expiry = Periodic::every(EXPIRY_INTERVAL);
-    let mut refusals = Periodic::every(REFUSALS_INTERVAL);
+    let mut load_report_due = Periodic::every(LOAD_REPORT_INTERVAL);
+    let mut load_report = LoadReport::default();
     let mut broadcast = Periodic::every(Duration::ZERO);
     loop {
         let asks_owners = loads::asks_owners(&core);
@@ -85,8 +88,8 @@
             refill_shares(&core, now);
             streams::tick(&core);
         }
-        if refusals.is_due(now) {
-            log_refusals(&core);
+        if load_report_due.is_due(now) {
+            load_report.report(&core);
         }
         if expiry.is_due(now) {
             expire(&core, &pace, asks_owners, now);
@@ -234,35 +237,6 @@
     }
 }
 
-/// Logs whose requests were refused because of this router's load, beside what their workspaces get over all
-/// routers.
-fn log_refusals(core: &Core) {
-    let report = core.arrivals.borrow_mut().take_report();
-    if report.is_empty() {
-        return;
-    }
-    let (configuration, _) = core.configuration();
-    let keys = configuration.as_ref().and_then(|it| it.keys.as_ref());
-    let shed_percent = core.metrics.shed_percent.get();
-    let shares = core.shares.borrow();
-    for (workspace, counts) in report {
-        let name = keys
-            .and_then(|keys| keys.values().find(|it| id_of(&it.name) == workspace))
-            .map_or("-", |it| it.name.as_str());
-        let basis = shares.basis(workspace);
-        log::info!(
-            workspace = name,
-            arrived = counts.arrived,
-            refused = counts.refused,
-            shed_percent,
-            share = basis.share,
-            requested = basis.total.requested,
-            served = basis.total.served;
-            "requests are refused unread because of this router's load"
-        );
-    }
-}
-
 fn refill_shares(core: &Core, now: Duration) {
     let capacity = core
         .active_configuration
