--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -9,4 +9,4 @@
 mod response;
 mod service;
 
-pub use listener::{bind, serve};
+pub use listener::{ConnectionPermit, accept, bind, serve};
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod ticker;
 
 pub use {
+    callers::{ConnectionPermit, accept, bind},
     command::{Command, PeerHost},
     error::RelayError,
     evidence::EvidenceOutbox,
