--- a/crates/place/src/cache.rs
+++ b/crates/place/src/cache.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{Part, PartId, Prompt},
-    std::{collections::HashMap, time::Duration},
+    foldhash::HashMap,
+    std::time::Duration,
 };
 
 /// Eviction frees this fraction of the capacity (1/8) at once, so that it runs rarely.
@@ -33,7 +34,7 @@
         Self {
             capacity_tokens,
             cached_tokens: 0,
-            parts: HashMap::new(),
+            parts: HashMap::default(),
         }
     }
 
--- a/crates/place/src/candidate.rs
+++ b/crates/place/src/candidate.rs
@@ -1,6 +1,6 @@
 //! Candidate servers for a request.
 
-use crate::{PartId, Server, ServerKey, score::rendezvous_score};
+use crate::Server;
 
 /// Reason that a server cannot take a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,13 +36,3 @@
         .filter(|candidate| candidate.rejection.is_none())
         .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
 }
-
-/// Returns the `max` servers with the highest rendezvous scores for a part, the highest first.
-pub(crate) fn rendezvous_order(part: PartId, servers: &[&Server], max: usize) -> Vec<ServerKey> {
-    let mut scored: Vec<(u64, ServerKey)> = servers
-        .iter()
-        .map(|server| (rendezvous_score(part, server.key), server.key))
-        .collect();
-    scored.sort_unstable_by(|left, right| right.cmp(left));
-    scored.into_iter().take(max).map(|(_, key)| key).collect()
-}
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -4,11 +4,12 @@
     crate::{
         Congestion, Placement, PlacementError, PlacementRequest, Placer, Prompt, Server, ServerKey,
         VersionBound,
-        candidate::{Candidate, Rejection, cheapest, rendezvous_order},
+        candidate::{Candidate, Rejection, cheapest},
         convert::millis,
+        score::rendezvous_score,
     },
     baobab_limit::Priority,
-    std::time::Duration,
+    std::{collections::BinaryHeap, time::Duration},
 };
 
 /// Cost of fetching a token from another engine, relative to its prefill.
@@ -20,6 +21,21 @@
 const FULL_SERVER_COST_MS: f64 = 20.0;
 /// Engines of the rendezvous order that are ranked; all others share the next rank.
 const RANKED_ENGINES: usize = 3;
+/// Engines that are compared as a source of cached parts, of those with equally many.
+const MAX_SOURCES: usize = 8;
+
+/// Whether a server can be chosen, without regard to its load.
+enum Eligibility {
+    Healthy,
+    /// Its requests failed a moment ago.
+    Ejected,
+    /// It was tried, or is of another version.
+    Excluded,
+    /// It is in an evacuated failure domain.
+    Evacuated,
+    /// It wants no request for some time.
+    Unavailable(Duration, PlacementError),
+}
 
 impl Placer {
     /// Chooses the cheapest server that can take the request.
@@ -36,17 +52,16 @@
         request: &PlacementRequest,
         now: Duration,
     ) -> Result<Placement, PlacementError> {
-        let mut servers = self.eligible_servers(request, now)?;
+        let servers = match request.sample {
+            Some(sample) => self.sampled_servers(request, sample, now),
+            None => self.eligible_servers(request, now)?,
+        };
         let ranked = request
             .prompt
-            .map_or_else(Vec::new, |prompt| ranked_engines(prompt, &servers));
+            .map_or_else(Vec::new, |prompt| self.ranked_engines(request, prompt, now));
         let source = request
             .prompt
-            .and_then(|prompt| self.fetch_source(prompt, &servers));
-        if let Some(sample) = request.sample {
-            servers.retain(|server| sample.contains(&server.key));
-        }
-        self.count_examined(servers.len());
+            .and_then(|prompt| self.fetch_source(request, prompt, now));
         let candidates = match request.prompt {
             Some(prompt) => {
                 let max_cached_tokens = source.map_or(0, |(_, cached_tokens)| cached_tokens);
@@ -74,51 +89,102 @@
 
     /// Returns the untried servers that are neither ejected, backing off nor in an evacuated domain, and whose limits may leave
     /// a request, or those that are only ejected if there are no others.
-    pub(crate) fn eligible_servers<'a>(
-        &'a self,
-        request: &'a PlacementRequest,
+    pub(crate) fn eligible_servers(
+        &self,
+        request: &PlacementRequest,
         now: Duration,
-    ) -> Result<Vec<&'a Server>, PlacementError> {
+    ) -> Result<Vec<&Server>, PlacementError> {
         let mut unavailable: Option<(Duration, PlacementError)> = None;
-        let mut untried: Vec<&Server> = Vec::new();
+        let mut healthy: Vec<&Server> = Vec::new();
+        let mut ejected: Vec<&Server> = Vec::new();
         let mut is_evacuated = false;
         for server in self.registry.usable(request.service) {
-            self.count_examined(1);
-            let is_tried = request.tried.contains(&server.key);
-            if is_tried || !request.versions.allows(&server.software_version) {
-                continue;
-            }
-            if self.availability.is_evacuated(&server.domain) {
-                is_evacuated = true;
-                continue;
-            }
-            match self.unavailability(request, server, now) {
-                Some((wait, error)) => {
+            match self.eligibility(request, server, now) {
+                Eligibility::Healthy => healthy.push(server),
+                Eligibility::Ejected => ejected.push(server),
+                Eligibility::Excluded => {}
+                Eligibility::Evacuated => is_evacuated = true,
+                Eligibility::Unavailable(wait, error) => {
                     if unavailable.is_none_or(|(min, _)| wait < min) {
                         unavailable = Some((wait, error));
                     }
                 }
-                None => untried.push(server),
             }
         }
-        if untried.is_empty() {
-            let none = if is_evacuated {
-                PlacementError::Evacuated
-            } else {
-                PlacementError::NoServer
-            };
-            return Err(unavailable.map_or(none, |(_, error)| error));
+        if !healthy.is_empty() {
+            return Ok(healthy);
+        }
+        if !ejected.is_empty() {
+            return Ok(ejected);
+        }
+        let none = if is_evacuated {
+            PlacementError::Evacuated
+        } else {
+            PlacementError::NoServer
+        };
+        Err(unavailable.map_or(none, |(_, error)| error))
+    }
+
+    /// Returns the servers of a sample that are still eligible, or those that are only ejected if there are no
+    /// others.
+    fn sampled_servers(
+        &self,
+        request: &PlacementRequest,
+        sample: &[ServerKey],
+        now: Duration,
+    ) -> Vec<&Server> {
+        let mut healthy = Vec::with_capacity(sample.len());
+        let mut ejected = Vec::new();
+        let is_usable = |server: &&Server| !server.is_leaving && server.service == request.service;
+        let sampled = sample.iter().filter_map(|key| self.registry.get(*key));
+        for server in sampled.filter(is_usable) {
+            match self.eligibility(request, server, now) {
+                Eligibility::Healthy => healthy.push(server),
+                Eligibility::Ejected => ejected.push(server),
+                _ => {}
+            }
+        }
+        if healthy.is_empty() { ejected } else { healthy }
+    }
+
+    /// Whether a server can be chosen without regard to its load.
+    pub(crate) fn is_healthy(
+        &self,
+        request: &PlacementRequest,
+        key: ServerKey,
+        now: Duration,
+    ) -> bool {
+        let server = self.registry.get(key);
+        server.is_some_and(|server| {
+            !server.is_leaving
+                && server.service == request.service
+                && matches!(self.eligibility(request, server, now), Eligibility::Healthy)
+        })
+    }
+
+    fn eligibility(
+        &self,
+        request: &PlacementRequest,
+        server: &Server,
+        now: Duration,
+    ) -> Eligibility {
+        self.count_examined(1);
+        let is_tried = request.tried.contains(&server.key);
+        if is_tried || !request.versions.allows(&server.software_version) {
+            return Eligibility::Excluded;
+        }
+        if self.availability.is_evacuated(&server.domain) {
+            return Eligibility::Evacuated;
+        }
+        if let Some((wait, error)) = self.unavailability(request, server, now) {
+            return Eligibility::Unavailable(wait, error);
+        }
+        let state = self.states.get(&server.key);
+        if state.is_some_and(|state| state.health.is_ejected(now)) {
+            Eligibility::Ejected
+        } else {
+            Eligibility::Healthy
         }
-        let healthy: Vec<&Server> = untried
-            .iter()
-            .copied()
-            .filter(|server| {
-                self.states
-                    .get(&server.key)
-                    .is_none_or(|state| !state.health.is_ejected(now))
-            })
-            .collect();
-        Ok(if healthy.is_empty() { untried } else { healthy })
     }
 
     /// Returns the precedence of a request at servers that have named a limit.
@@ -276,18 +342,49 @@
 
     /// Returns the engine with most of a prompt cached, and how many tokens. Of those with equally
     /// many, the one that used the parts last is the least likely to have evicted them.
-    fn fetch_source<'a>(
+    fn fetch_source(
         &self,
+        request: &PlacementRequest,
         prompt: &Prompt,
-        servers: &[&'a Server],
-    ) -> Option<(&'a Server, u64)> {
-        self.count_examined(servers.len());
-        servers
-            .iter()
-            .map(|server| (*server, self.cached_tokens(server.key, prompt)))
-            .max_by_key(|(server, cached_tokens)| {
-                (*cached_tokens, self.used_at(server.key, prompt))
-            })
+        now: Duration,
+    ) -> Option<(&Server, u64)> {
+        let mut cached_tokens: u64 = prompt.parts.iter().map(|part| part.tokens).sum();
+        for part in prompt.parts.iter().rev() {
+            let source = self
+                .holders
+                .of(part.id)
+                .filter(|key| self.cached_tokens(*key, prompt) >= cached_tokens)
+                .filter(|key| self.is_healthy(request, *key, now))
+                .take(MAX_SOURCES)
+                .max_by_key(|key| self.used_at(*key, prompt));
+            if let Some(server) = source.and_then(|key| self.registry.get(key)) {
+                return Some((server, cached_tokens));
+            }
+            cached_tokens -= part.tokens;
+        }
+        None
+    }
+
+    /// Returns the healthy engines that are preferred for the last shared part of a prompt, the most preferred
+    /// first.
+    pub(crate) fn ranked_engines(
+        &self,
+        request: &PlacementRequest,
+        prompt: &Prompt,
+        now: Duration,
+    ) -> Vec<ServerKey> {
+        let Some(part) = prompt.last_shared() else {
+            return Vec::new();
+        };
+        let keys = self.registry.usable_keys(request.service).iter();
+        let mut scored: BinaryHeap<(u64, ServerKey)> = keys
+            .map(|key| (rendezvous_score(part.id, *key), *key))
+            .collect();
+        std::iter::from_fn(|| scored.pop())
+            .map(|(_, key)| key)
+            .filter(|key| self.is_healthy(request, *key, now))
+            .take(RANKED_ENGINES)
+            .collect()
     }
 
     fn cached_tokens(&self, key: ServerKey, prompt: &Prompt) -> u64 {
@@ -311,6 +408,9 @@
                 .filter(|candidate| candidate.rejection == Some(rejection))
                 .count()
         };
+        if candidates.is_empty() {
+            return Congestion::default();
+        }
         let predicted_ms = min_of(|candidate| candidate.predicted_ms);
         let over_ms =
             (predicted_ms - millis(request.objective) * self.tuning.objective_fraction).max(0.0);
@@ -323,11 +423,3 @@
         }
     }
 }
-
-/// Returns the engines that are preferred for the last shared part of a prompt, the most preferred
-/// first.
-pub(crate) fn ranked_engines(prompt: &Prompt, servers: &[&Server]) -> Vec<ServerKey> {
-    prompt.last_shared().map_or_else(Vec::new, |part| {
-        rendezvous_order(part.id, servers, RANKED_ENGINES)
-    })
-}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,6 +10,7 @@
 mod convert;
 mod doubt;
 mod health;
+mod holders;
 mod load;
 mod part_directory;
 mod peers;
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -3,10 +3,8 @@
 use {
     crate::{Load, RatesByWorkspace, ServerKey, WorkspaceRates},
     baobab_unit::{HostId, WorkspaceId},
-    std::{
-        collections::{HashMap, HashSet},
-        time::Duration,
-    },
+    foldhash::{HashMap, HashSet},
+    std::time::Duration,
 };
 
 /// Time for which an owner's answer on rates is used.
@@ -85,12 +83,12 @@
     #[must_use]
     pub fn new(peer_timeout: Duration) -> Self {
         Self {
-            live: HashMap::new(),
-            totals: HashMap::new(),
-            answers: HashMap::new(),
-            owned: HashSet::new(),
+            live: HashMap::default(),
+            totals: HashMap::default(),
+            answers: HashMap::default(),
+            owned: HashSet::default(),
             rate_totals: RatesByWorkspace::new(),
-            rate_answers: HashMap::new(),
+            rate_answers: HashMap::default(),
             peer_timeout,
         }
     }
@@ -237,6 +235,14 @@
         self.answers.contains_key(&server) || self.owned.contains(&server)
     }
 
+    /// Returns the servers whose owners have answered lately, and those that this router owns, with the load of the
+    /// other routers.
+    pub(crate) fn known_loads(&self) -> impl Iterator<Item = (ServerKey, Load)> {
+        let answered = self.answers.iter().map(|(key, answer)| (*key, answer.load));
+        let owned = self.owned.iter().map(|key| (*key, self.load(*key)));
+        answered.chain(owned)
+    }
+
     /// Returns the requested and served rates of each workspace, summed over the other routers.
     #[must_use]
     pub fn rates(&self) -> RatesByWorkspace {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -5,15 +5,13 @@
     crate::{
         CacheView, ConnectionLimits, Health, Load, Part, Peers, Placement, Prompt, Registry,
         Server, ServerKey, ServerOutcome, Tuning, convert::fraction_of, doubt::Doubt,
+        holders::Holders,
     },
     baobab_availability::Availability,
     baobab_limit::Limits,
     baobab_unit::HostId,
-    std::{
-        cell::Cell,
-        collections::{BTreeSet, HashMap},
-        time::Duration,
-    },
+    foldhash::HashMap,
+    std::{cell::Cell, collections::BTreeSet, time::Duration},
 };
 
 /// Weight of the newest first event in an engine's exponentially weighted slowdown.
@@ -67,6 +65,7 @@
     pub availability: Availability,
     pub(crate) tuning: Tuning,
     pub(crate) states: HashMap<ServerKey, ServerState>,
+    pub(crate) holders: Holders,
     unreported_parts: Vec<(ServerKey, Part)>,
     pub(crate) unreported_losses: BTreeSet<ServerKey>,
     reported_parts: ReportedParts,
@@ -102,14 +101,15 @@
             limits: Limits::default(),
             availability: Availability::default(),
             tuning,
-            states: HashMap::new(),
+            states: HashMap::default(),
+            holders: Holders::default(),
             unreported_parts: Vec::new(),
             unreported_losses: BTreeSet::new(),
             reported_parts: ReportedParts::Shared,
             mean_prompt_tokens: 0.0,
             out_of_step_at: None,
             fleet_size: 1,
-            typical_loads: HashMap::new(),
+            typical_loads: HashMap::default(),
             examined: Cell::new(0),
         }
     }
@@ -162,6 +162,9 @@
                 ReportedParts::LastShared => index + 1 == shared_count,
             };
             let is_used = state.cache.touch(*part, now);
+            if is_used {
+                self.holders.on_use(part.id, key);
+            }
             if is_used && is_reported && self.unreported_parts.len() < MAX_UNREPORTED_PARTS {
                 self.unreported_parts.push((key, *part));
             }
@@ -232,7 +235,9 @@
     /// Records that another router has sent a prompt part to an engine.
     pub fn on_peer_part(&mut self, key: ServerKey, part: Part, now: Duration) {
         let state = self.states.entry(key).or_insert_with(ServerState::new);
-        state.cache.touch(part, now);
+        if state.cache.touch(part, now) {
+            self.holders.on_use(part.id, key);
+        }
     }
 
     /// Resets the cache, health and slowdown of a restarted server; its load stays.
@@ -327,6 +332,12 @@
                 || state.load != Load::default()
                 || state.backoff_until.is_some_and(|until| until > now)
         });
+        let states = &self.states;
+        self.holders.prune(now, |part, server| {
+            states
+                .get(&server)
+                .is_some_and(|state| state.cache.contains(part))
+        });
         self.limits.retain(|key| registry.get(key).is_some());
         self.availability.retain(|key| registry.get(key).is_some());
         self.update_cold_limits(now);
--- a/crates/place/src/registry.rs
+++ b/crates/place/src/registry.rs
@@ -5,7 +5,10 @@
         Server, ServerId, ServerKey,
         retired::{RetiredRuns, Source},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
 };
 
 #[derive(Debug)]
@@ -26,6 +29,8 @@
 #[derive(Debug)]
 pub struct Registry {
     entries: BTreeMap<ServerKey, Entry>,
+    /// Sorted keys of the servers that accept new requests, by service.
+    usable: HashMap<String, Vec<ServerKey>>,
     settle_time: Duration,
     /// Start of the list's current availability; `None` while it is unavailable.
     available_since: Option<Duration>,
@@ -44,6 +49,7 @@
     pub fn new(settle_time: Duration) -> Self {
         Self {
             entries: BTreeMap::new(),
+            usable: HashMap::new(),
             settle_time,
             available_since: None,
             has_list: false,
@@ -93,6 +99,7 @@
             entry.server.is_leaving = true;
             self.retired.insert(&entry.server, Source::Response, now);
         }
+        self.update_usable(key);
     }
 
     /// Returns the software versions of all announced servers, with their services.
@@ -114,7 +121,9 @@
             server,
             missing_since: None,
         };
-        self.entries.insert(entry.server.key, entry);
+        let key = entry.server.key;
+        self.entries.insert(key, entry);
+        self.update_usable(key);
         is_restart
     }
 
@@ -128,6 +137,7 @@
                 self.retired
                     .insert(&entry.server, Source::Announcement, now);
             }
+            self.update_usable(key);
             return true;
         }
         if let Some(entry) = self.entries.get_mut(&key) {
@@ -166,6 +176,7 @@
     /// Removes a server that is known to have left its address.
     pub fn remove(&mut self, key: ServerKey) {
         self.entries.remove(&key);
+        self.update_usable(key);
     }
 
     /// Removes servers with an expired announcement once the list has been available for the settle
@@ -174,14 +185,19 @@
         self.retired.expire(now);
         if self.is_settled(now) {
             self.is_restored = false;
-            let retired = &mut self.retired;
-            self.entries.retain(|_, entry| {
-                let is_missing = entry.missing_since.is_some();
-                if is_missing {
-                    retired.insert(&entry.server, Source::Announcement, now);
+            let missing: Vec<ServerKey> = self
+                .entries
+                .iter()
+                .filter(|(_, entry)| entry.missing_since.is_some())
+                .map(|(key, _)| *key)
+                .collect();
+            for key in missing {
+                if let Some(entry) = self.entries.remove(&key) {
+                    self.retired
+                        .insert(&entry.server, Source::Announcement, now);
                 }
-                !is_missing
-            });
+                self.update_usable(key);
+            }
         }
     }
 
@@ -198,9 +214,33 @@
     }
 
     /// Returns the servers of a service that accept new requests.
-    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
-        self.all()
-            .filter(move |server| server.service == service && !server.is_leaving)
+    pub fn usable(&self, service: &str) -> impl Iterator<Item = &Server> {
+        self.usable_keys(service)
+            .iter()
+            .filter_map(|key| self.get(*key))
+    }
+
+    /// Returns the sorted keys of the servers of a service that accept new requests.
+    pub(crate) fn usable_keys(&self, service: &str) -> &[ServerKey] {
+        self.usable.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Applies a change of a server to the keys of those that accept new requests.
+    fn update_usable(&mut self, key: ServerKey) {
+        for keys in self.usable.values_mut() {
+            if let Ok(index) = keys.binary_search(&key) {
+                keys.remove(index);
+            }
+        }
+        self.usable.retain(|_, keys| !keys.is_empty());
+        let Some(entry) = self.entries.get(&key) else {
+            return;
+        };
+        if !entry.server.is_leaving {
+            let keys = self.usable.entry(entry.server.service.clone()).or_default();
+            let index = keys.partition_point(|other| *other < key);
+            keys.insert(index, key);
+        }
     }
 
     fn key_of(&self, id: &str) -> Option<ServerKey> {
--- a/crates/place/tests/cost.rs
+++ b/crates/place/tests/cost.rs
@@ -4,9 +4,7 @@
 mod engines;
 
 use {
-    baobab_place::{
-        AdmissionClass, Load, Part, PlacementRequest, Placer, Prompt, ServerKey, VersionBound,
-    },
+    baobab_place::{AdmissionClass, Load, Part, PlacementRequest, Prompt, VersionBound},
     std::time::Duration,
 };
 
@@ -67,7 +65,7 @@
         let prompt = prompt(number);
         let request = request(&prompt, number);
         let sample = placer.sample(&request, 0, NOW).unwrap();
-        let known = known_servers(&placer, &request, &sample);
+        let known = placer.known_servers(&request, &sample, NOW).unwrap();
         let request = PlacementRequest {
             sample: Some(&known),
             ..request
@@ -77,14 +75,6 @@
     (placer.examined() - before) / REQUESTS
 }
 
-fn known_servers(
-    placer: &Placer,
-    request: &PlacementRequest,
-    _sample: &[ServerKey],
-) -> Vec<ServerKey> {
-    placer.known_servers(request, NOW).unwrap()
-}
-
 #[test]
 fn a_choice_does_not_examine_every_server_of_a_large_service() {
     for engines in [140, 600] {
--- a/crates/place/tests/fairness/support/mod.rs
+++ b/crates/place/tests/fairness/support/mod.rs
@@ -511,7 +511,7 @@
         let is_known = sample.iter().any(|key| placer.peers.has_answer(*key));
         let mut servers = sample;
         if is_overloaded || !is_known {
-            let known = placer.known_servers(&placement_request, now).ok()?;
+            let known = placer.known_servers(&placement_request, &servers, now).ok()?;
             if !known.is_empty() {
                 servers = known;
             }
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -581,7 +581,7 @@
     let known = |placer: &Placer| {
         let prompt = prompt(3, 4, 8_000);
         let request = placement_request(&prompt, AdmissionClass::Modest);
-        placer.known_servers(&request, NOW).unwrap()
+        placer.known_servers(&request, &[], NOW).unwrap()
     };
     assert_eq!(known(&placer), [] as [u32; 0]);
     busy(&mut placer, [2, 5].into_iter());
--- a/crates/relay/src/forward/admission.rs
+++ b/crates/relay/src/forward/admission.rs
@@ -15,8 +15,8 @@
         loads, streams,
     },
     baobab_place::{
-        AdmissionClass, CallerAttempt, Congestion, Placement, PlacementError, PlacementRequest,
-        ShareBasis, SoftwareVersion,
+        AdmissionClass, CallerAttempt, Congestion, Placement, PlacementError, ShareBasis,
+        SoftwareVersion,
     },
     baobab_quarantine::Verdict,
     baobab_routing::RetrySafety,
@@ -54,21 +54,17 @@
         let tried = attempts.tried();
         let beginning = beginning(core, job);
         let reuse = ConnectionReuse::from(job.route.retry_safety);
-        let connected = core.pool.connected_servers(reuse);
-        let request = PlacementRequest {
-            connected: connected.as_deref(),
-            ..job.placement_request(
-                &core.settings.domain,
-                &tried,
-                admission_class,
-                may_ask_permit(core, refused_permits, wait_until),
-                &beginning,
-            )
-        };
+        let request = job.placement_request(
+            &core.settings.domain,
+            &tried,
+            admission_class,
+            may_ask_permit(core, refused_permits, wait_until),
+            &beginning,
+        );
         let asks_owners = loads::asks_owners(core);
         core.metrics.load.placements.inc();
         let result = if asks_owners {
-            loads::place(core, &request, round).await
+            loads::place(core, &request, round, reuse).await
         } else {
             core.placer.borrow().place(&request, core.now())
         };
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -7,6 +7,7 @@
             GossipMessage, HolderAnswer, LoadAnswer, LoadQuery, Owned, PartUpdate, PermitAnswer,
             PermitQuery, QueryNumber, ServerAnswer, StreamQuery,
         },
+        idle_connections::ConnectionReuse,
         limits,
         owners::{OwnerReport, QueryOutcome, group_by_owner},
         streams,
@@ -51,6 +52,7 @@
     core: &Rc<Core>,
     request: &PlacementRequest<'_>,
     round: u32,
+    reuse: ConnectionReuse,
 ) -> Result<Placement, PlacementError> {
     let mut sample = core.placer.borrow().sample(request, round, core.now())?;
     // Answers would reach an overloaded router late, and each wait delays the request further.
@@ -70,13 +72,15 @@
     let placer = core.placer.borrow();
     let is_known = sample.iter().any(|server| placer.peers.has_answer(*server));
     if is_overloaded || !is_known {
-        let known = placer.known_servers(request, core.now())?;
+        let known = placer.known_servers(request, &sample, core.now())?;
         if !known.is_empty() {
             sample = known;
         }
     }
+    let connected = core.pool.connected_servers(&sample, reuse);
     let request = PlacementRequest {
         sample: Some(&sample),
+        connected: connected.as_deref(),
         ..*request
     };
     placer.place(&request, core.now())
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -117,19 +117,24 @@
         idle.take_matching(|connection| connection.opened_at() < before, Instant::now())
     }
 
-    /// Returns the servers to which a request can use an idle connection, sorted, or none if it needs a new one
-    /// at any server.
+    /// Returns those of some servers to which a request can use an idle connection, sorted, or none if it needs a
+    /// new one at any server.
     #[must_use]
-    pub fn connected_servers(&self, reuse: ConnectionReuse) -> Option<Vec<ServerKey>> {
+    pub fn connected_servers(
+        &self,
+        among: &[ServerKey],
+        reuse: ConnectionReuse,
+    ) -> Option<Vec<ServerKey>> {
         if reuse == ConnectionReuse::Never {
             return None;
         }
         let now = Instant::now();
         let servers = self.servers.borrow();
-        let connected = servers
-            .iter()
-            .filter(|(_, connections)| connections.idle.has_usable(reuse, now));
-        let mut connected: Vec<ServerKey> = connected.map(|(server, _)| *server).collect();
+        let is_connected = |server: &ServerKey| {
+            let connections = servers.get(server);
+            connections.is_some_and(|connections| connections.idle.has_usable(reuse, now))
+        };
+        let mut connected: Vec<ServerKey> = among.iter().copied().filter(is_connected).collect();
         connected.sort_unstable();
         Some(connected)
     }
