--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -3,9 +3,11 @@
 mod arrivals;
 mod overload;
 mod shedding;
+mod unread;
 
 pub use {
     arrivals::{Arrivals, Counts},
     overload::Overload,
     shedding::{Arrival, Shedding},
+    unread::Unread,
 };
--- a/crates/overload/src/overload.rs
+++ b/crates/overload/src/overload.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Records that connections were turned away unread.
+    pub fn on_turned_away(&mut self, now: Duration) {
+        self.shed_at = Some(now);
+    }
+
     /// Returns the fraction of the streams that is shed.
     #[must_use]
     pub fn shed_fraction(&self) -> f64 {
--- a/crates/relay/src/callers/listener.rs
+++ b/crates/relay/src/callers/listener.rs
@@ -1,7 +1,10 @@
 //! Accepts callers' connections.
 
 use {
-    super::connection,
+    super::{
+        connection,
+        turned_away::{Refusal, discard_request, refuse_unread},
+    },
     crate::{core::Core, error::RelayError},
     socket2::{Domain, Socket, Type},
     std::{
@@ -15,6 +18,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
+        task::{spawn_local, unconstrained, yield_now},
         time::sleep,
     },
 };
@@ -47,31 +51,99 @@
     open().map_err(|error| RelayError::Bind(address, error))
 }
 
+/// An accepted connection whose first request has not been read.
+pub type UnreadConnection = (TcpStream, ConnectionPermit);
+
 /// Accepts and serves callers until the task is dropped.
 pub async fn serve(core: Rc<Core>, listener: TcpListener) {
     let turns = core.metrics.load.accept_turns.clone();
     let max_connections = core.settings.max_connections;
-    let on_accepted = move |stream, permit: ConnectionPermit| {
-        let core = Rc::clone(&core);
+    let accepting_core = Rc::clone(&core);
+    let on_accepted = move |stream, permit| {
+        let core = &accepting_core;
         core.metrics.load.accepted.inc();
         core.connections.set(core.connections.get() + 1);
-        tokio::task::spawn_local(async move {
-            connection::run(Rc::clone(&core), stream).await;
-            core.connections.set(core.connections.get() - 1);
-            drop(permit);
-        });
+        core.unread.borrow_mut().push((stream, permit), core.now());
+        core.unread_added.notify_one();
     };
     let mut accepting = pin!(accept(listener, max_connections, on_accepted));
-    poll_fn(|context| {
+    let accepting = poll_fn(|context| {
         turns.inc();
         accepting.as_mut().poll(context)
-    })
-    .await;
+    });
+    tokio::join!(accepting, start_accepted(core));
+}
+
+/// Starts to serve accepted connections until the task is dropped. In a large fleet, those that have waited for too
+/// long are turned away, since other routers have time for them.
+async fn start_accepted(core: Rc<Core>) {
+    loop {
+        core.unread_added.notified().await;
+        while !core.unread.borrow().is_empty() {
+            let connections = if core.sheds_to_others() {
+                let expired = core.unread.borrow_mut().take_expired(core.now());
+                if !expired.is_empty() {
+                    core.overload.borrow_mut().on_turned_away(core.now());
+                }
+                for (stream, permit) in expired {
+                    turn_away(&core, stream, permit);
+                }
+                core.unread.borrow_mut().take_turn()
+            } else {
+                core.unread.borrow_mut().take_all()
+            };
+            for (stream, permit) in connections {
+                start(&core, stream, permit);
+            }
+            yield_now().await;
+        }
+    }
+}
+
+fn start(core: &Rc<Core>, stream: TcpStream, permit: ConnectionPermit) {
+    let core = Rc::clone(core);
+    spawn_local(async move {
+        connection::run(Rc::clone(&core), stream).await;
+        core.connections.set(core.connections.get() - 1);
+        drop(permit);
+    });
+}
+
+/// Refuses the request of a connection unread, or starts the connection if none has arrived.
+fn turn_away(core: &Rc<Core>, stream: TcpStream, permit: ConnectionPermit) {
+    let refusal = refuse_unread(
+        &stream,
+        &mut core.turned_away_buffer.borrow_mut(),
+        core.random_fraction(),
+    );
+    let is_request_complete = match refusal {
+        Refusal::NoRequest => return start(core, stream, permit),
+        Refusal::Sent {
+            is_request_complete,
+        } => is_request_complete,
+    };
+    core.metrics.load.turned_away.inc();
+    core.connections.set(core.connections.get() - 1);
+    if !is_request_complete {
+        spawn_local(async move {
+            discard_request(stream).await;
+            drop(permit);
+        });
+    }
 }
 
 /// Accepts connections until the task is dropped, at most `max_connections` at a time. `on_accepted` gets each with
 /// a permit, which it drops when the connection has ended.
 pub async fn accept(
+    listener: TcpListener,
+    max_connections: usize,
+    on_accepted: impl FnMut(TcpStream, ConnectionPermit),
+) {
+    // With a budget, a turn of the task would leave connections of a burst in the queue, where nothing measures them.
+    unconstrained(accept_all(listener, max_connections, on_accepted)).await;
+}
+
+async fn accept_all(
     listener: TcpListener,
     max_connections: usize,
     mut on_accepted: impl FnMut(TcpStream, ConnectionPermit),
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -8,5 +8,9 @@
 mod refused_body;
 mod response;
 mod service;
+mod turned_away;
 
-pub use listener::{ConnectionPermit, accept, bind, serve};
+pub use {
+    listener::{ConnectionPermit, UnreadConnection, accept, bind, serve},
+    turned_away::{Refusal, discard_request, refuse_unread},
+};
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        callers::UnreadConnection,
         evidence::Evidence,
         forward::KeptMemory,
         gossip::{GossipSocket, Outbox, PeerDirectory},
@@ -16,7 +17,7 @@
         shared_tables::TABLES,
         streams::Streams,
     },
-    baobab_overload::{Arrivals, Overload, Shedding},
+    baobab_overload::{Arrivals, Overload, Shedding, Unread},
     baobab_place::{PartDirectory, Peers, Placer, Registry, ServerKey, Shares},
     baobab_routing::{ActiveConfiguration, Configuration, ConfirmationState},
     baobab_watch::suspension_clock,
@@ -105,6 +106,12 @@
     pub sampled_at: Cell<Duration>,
     /// How long the traffic thread has waited for work.
     pub idle_time: IdleTime,
+    /// Connections of callers that wait to be served.
+    pub unread: RefCell<Unread<UnreadConnection>>,
+    /// Wakes the task that serves them.
+    pub unread_added: Notify,
+    /// Scratch memory for requests that are not read.
+    pub turned_away_buffer: RefCell<Vec<u8>>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
     /// Requests in flight.
@@ -159,6 +166,9 @@
             arrivals: RefCell::default(),
             sampled_at: Cell::default(),
             idle_time,
+            unread: RefCell::default(),
+            unread_added: Notify::new(),
+            turned_away_buffer: RefCell::default(),
             connections: Cell::new(0),
             in_flight: Cell::new(0),
             body_bytes: Cell::new(0),
--- a/crates/relay/src/load_metrics.rs
+++ b/crates/relay/src/load_metrics.rs
@@ -11,6 +11,8 @@
     pub accept_turns: IntCounter,
     /// Callers' connections whose first request has not been read.
     pub unread_connections: IntGauge,
+    /// Connections of callers that were turned away unread.
+    pub turned_away: IntCounter,
     /// Choices of a server.
     pub placements: IntCounter,
     /// Servers that were examined for them.
@@ -50,6 +52,10 @@
                 "baobab_accept_turns_total",
                 "Turns of the task that accepts connections.",
             ),
+            turned_away: total(
+                "baobab_connections_turned_away_total",
+                "Connections of callers whose request was refused unread.",
+            ),
             unread_connections: gauge(
                 "baobab_unread_connections",
                 "Connections of callers whose first request has not been read.",
--- a/crates/relay/src/load_report.rs
+++ b/crates/relay/src/load_report.rs
@@ -14,6 +14,7 @@
     idle: Duration,
     accepted: u64,
     accept_turns: u64,
+    turned_away: u64,
     placed: u64,
     examined: u64,
 }
@@ -30,6 +31,7 @@
             idle: core.idle_time.total(),
             accepted: core.metrics.load.accepted.get(),
             accept_turns: core.metrics.load.accept_turns.get(),
+            turned_away: core.metrics.load.turned_away.get(),
             placed: core.metrics.load.placements.get(),
             examined,
         }
@@ -55,7 +57,8 @@
         core.metrics.load.idle_percent.set(idle_percent);
         let refusals = core.arrivals.borrow_mut().take_report();
         let unread = core.metrics.load.unread_connections.get();
-        if refusals.is_empty() && unread == 0 {
+        let is_busy = counters.turned_away > last.turned_away || unread > 0;
+        if refusals.is_empty() && !is_busy {
             return;
         }
         log::info!(
@@ -63,6 +66,7 @@
             unread,
             accepted = counters.accepted - last.accepted,
             accept_turns = counters.accept_turns - last.accept_turns,
+            turned_away = counters.turned_away - last.turned_away,
             placed = counters.placed - last.placed,
             examined = counters.examined - last.examined,
             shed_percent = core.metrics.shed_percent.get(),
--- a/crates/relay/src/ticker.rs
+++ b/crates/relay/src/ticker.rs
@@ -221,6 +221,7 @@
 }
 
 fn record_delay(core: &Core, delay: Duration, now: Duration) {
+    core.unread.borrow_mut().decay();
     let mut overload = core.overload.borrow_mut();
     let has_changed = overload.on_delay(delay, now);
     #[allow(clippy::cast_possible_truncation)]
