--- a/crates/place/tests/fairness/jumps.rs
+++ b/crates/place/tests/fairness/jumps.rs
@@ -19,6 +19,7 @@
         }),
         keeps_overload: true,
         refuses_unread: true,
+        turns_away: true,
         read_time: Duration::from_millis(1),
         ask_time: Duration::from_micros(1500),
         serve_time: Duration::from_millis(8),
@@ -114,7 +115,10 @@
         ("buckets of the fleet at each router", Variant::WholeBuckets),
         ("broken attempts not charged", Variant::BrokenNotCharged),
         ("late requests like first ones", Variant::LateAsFirst),
-        ("requests refused unread counted", Variant::UnreadCounted),
+        (
+            "requests refused unread not counted",
+            Variant::UnreadNotCounted,
+        ),
         ("overloaded routers ask like others", Variant::OverloadedAsk),
         ("full bounds within the share", Variant::FullBounds),
     ];
--- a/crates/place/tests/fairness/support/conditions.rs
+++ b/crates/place/tests/fairness/support/conditions.rs
@@ -104,8 +104,8 @@
     BrokenNotCharged,
     /// Late requests are judged like first ones.
     LateAsFirst,
-    /// Requests that a router refuses unread are counted as claims.
-    UnreadCounted,
+    /// Requests that a router refuses unread are not counted as claims.
+    UnreadNotCounted,
     /// Overloaded routers ask for loads and samples like others.
     OverloadedAsk,
     /// Requests within the share get full bounds.
@@ -121,6 +121,8 @@
     pub keeps_overload: bool,
     /// Whether an overloaded router refuses streams before it reads them, as in the relay.
     pub refuses_unread: bool,
+    /// Whether a router turns connections away that wait to be read, as in the relay.
+    pub turns_away: bool,
     pub rates_interval: Duration,
     /// Processor time that a router takes to read a request.
     pub read_time: Duration,
@@ -138,6 +140,7 @@
             crash: None,
             keeps_overload: false,
             refuses_unread: false,
+            turns_away: false,
             rates_interval: RATES_INTERVAL,
             read_time: REQUEST_TIME,
             ask_time: Duration::ZERO,
--- a/crates/place/tests/fairness/support/mod.rs
+++ b/crates/place/tests/fairness/support/mod.rs
@@ -59,6 +59,10 @@
 const FIRST_ATTEMPT_TIMEOUT_FRACTION: f64 = 0.845;
 /// Processor time that a router takes to refuse a stream unread.
 const REFUSAL_TIME: Duration = Duration::from_millis(1);
+/// Wait after which a router turns a connection away, as in the relay.
+const MAX_UNREAD_WAIT: Duration = Duration::from_millis(100);
+/// Processor time that a router takes to turn a connection away.
+const TURN_AWAY_TIME: Duration = Duration::from_micros(250);
 /// Time after which a connection is refused.
 const CONNECT_TIME: Duration = Duration::from_millis(3);
 /// Engines that a request tries without a connection.
@@ -376,10 +380,16 @@
         let random_fraction: f64 = self.random.random();
         let router = &mut self.routers[request.router];
         let wait = router.busy_until.saturating_sub(now);
-        if wait > UNREAD_TIMEOUT {
-            if conditions.variant == Variant::UnreadCounted && !request.is_retry {
+        let counts_unread = conditions.variant != Variant::UnreadNotCounted && !request.is_retry;
+        if conditions.turns_away && wait > MAX_UNREAD_WAIT {
+            if counts_unread {
                 router.shares.claim(request.workspace, tokens);
             }
+            router.overload.on_turned_away(now);
+            router.busy_until += TURN_AWAY_TIME;
+            return self.refuse_after(request, OTHER_ROUTER_DELAY);
+        }
+        if wait > UNREAD_TIMEOUT {
             return self.refuse(request);
         }
         let is_late = request.is_late(now);
@@ -394,7 +404,7 @@
             .refuses(arrival, &router.overload, true, random_fraction);
         if conditions.refuses_unread && is_refused {
             router.busy_until = router.busy_until.max(now) + REFUSAL_TIME;
-            if conditions.variant == Variant::UnreadCounted && !request.is_retry {
+            if counts_unread {
                 router.shares.claim(request.workspace, tokens);
             }
             return self.refuse_after(request, OTHER_ROUTER_DELAY);
@@ -405,7 +415,7 @@
         } else {
             wait > OVERLOAD_BACKLOG
         };
-        if !is_late || is_overloaded && conditions.variant != Variant::UnreadCounted {
+        if !is_late || is_overloaded {
             router.shares.claim(request.workspace, tokens);
         }
         self.at(wait, Event::Place(Box::new(request), 0));
@@ -511,7 +521,9 @@
         let is_known = sample.iter().any(|key| placer.peers.has_answer(*key));
         let mut servers = sample;
         if is_overloaded || !is_known {
-            let known = placer.known_servers(&placement_request, &servers, now).ok()?;
+            let known = placer
+                .known_servers(&placement_request, &servers, now)
+                .ok()?;
             if !known.is_empty() {
                 servers = known;
             }
--- a/crates/relay/src/callers/admit.rs
+++ b/crates/relay/src/callers/admit.rs
@@ -221,11 +221,25 @@
     );
     core.arrivals.borrow_mut().on_request(workspace, is_refused);
     if is_refused {
+        if !job.is_late {
+            claim(core, job);
+        }
         return Err(refuse_to_other_router(core, job, Reason::Overloaded));
     }
     Ok(())
 }
 
+/// Counts what a request claims, and what those claim that were turned away unread meanwhile.
+pub fn claim(core: &Core, job: &Job) {
+    let Some(caller) = &job.caller else {
+        return;
+    };
+    let connections = core.unread.borrow().connections_per_started();
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let tokens = (job.claim_tokens() as f64 * connections) as u64;
+    core.shares.borrow_mut().claim(caller.workspace, tokens);
+}
+
 /// Refuses a request with a short delay, since another router can serve it now.
 fn refuse_to_other_router(core: &Core, job: &Job, reason: Reason) -> Problem {
     let delay = retry_after(
--- a/crates/relay/src/callers/service.rs
+++ b/crates/relay/src/callers/service.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         activity::BusyGuard,
-        admit::admit,
+        admit::{admit, claim},
         in_flight::InFlight,
         refused_body,
         response::{ResponseBody, ServiceResult, problem_response, server_response},
@@ -100,12 +100,8 @@
     retries::on_request(core, &job);
     // A late request was counted at its first attempt, unless a router was too busy to read that.
     let is_counted = job.is_late && !core.overload.borrow().is_overloaded();
-    if let Some(caller) = &job.caller
-        && !is_counted
-    {
-        core.shares
-            .borrow_mut()
-            .claim(caller.workspace, job.claim_tokens());
+    if !is_counted {
+        claim(core, &job);
     }
     let job = Rc::new(job);
     let attempts = Attempts::default();
