--- a/crates/overload/src/unread.rs
+++ b/crates/overload/src/unread.rs
@@ -13,6 +13,9 @@
 const STARTED_PER_TURN: usize = 16;
 /// Fraction of the counted connections that decays per update; the mean age of one is five updates.
 const DECAY: f64 = 0.2;
+/// Maximum number of connections that one started connection stands for, so that the estimate of what a workspace
+/// asks for does not hinge on a single request.
+const MAX_PER_STARTED: f64 = 10.0;
 
 /// Connections in the order in which they were accepted.
 #[derive(Debug)]
@@ -68,11 +71,11 @@
             .collect()
     }
 
-    /// Returns the number of connections for each one that was started lately: one if none is turned away. What their
-    /// callers ask for is estimated by it.
+    /// Returns the number of connections for each one that was started lately, at most ten: one if none is turned
+    /// away. What their callers ask for is estimated by it.
     #[must_use]
     pub fn connections_per_started(&self) -> f64 {
-        1.0 + self.turned_away / self.started.max(1.0)
+        (1.0 + self.turned_away / self.started.max(1.0)).min(MAX_PER_STARTED)
     }
 
     /// Lets earlier connections count less. To be called at a fixed interval.
--- a/crates/overload/tests/unread.rs
+++ b/crates/overload/tests/unread.rs
@@ -59,4 +59,8 @@
     }
     unread.take_all();
     assert!(unread.connections_per_started() < 1.1);
+    let mut unread = waiting(1000);
+    assert_eq!(unread.take_expired(millis(1_050)).len(), 950);
+    unread.take_turn();
+    assert!((unread.connections_per_started() - 10.0).abs() < 1e-9);
 }
