--- a/crates/relay/src/callers/listener.rs
+++ b/crates/relay/src/callers/listener.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         connection,
-        turned_away::{Refusal, discard_request, refuse_unread},
+        turned_away::{UnreadRefusal, discard_request, refuse_unread},
     },
     crate::{core::Core, error::RelayError},
     socket2::{Domain, Socket, Type},
@@ -104,11 +104,15 @@
     let core = Rc::clone(core);
     spawn_local(async move {
         connection::run(Rc::clone(&core), stream).await;
-        core.connections.set(core.connections.get() - 1);
-        drop(permit);
+        on_ended(&core, permit);
     });
 }
 
+fn on_ended(core: &Core, permit: ConnectionPermit) {
+    core.connections.set(core.connections.get() - 1);
+    drop(permit);
+}
+
 /// Refuses the request of a connection unread, or starts the connection if none has arrived.
 fn turn_away(core: &Rc<Core>, stream: TcpStream, permit: ConnectionPermit) {
     let refusal = refuse_unread(
@@ -117,19 +121,20 @@
         core.random_fraction(),
     );
     let is_request_complete = match refusal {
-        Refusal::NoRequest => return start(core, stream, permit),
-        Refusal::Sent {
+        UnreadRefusal::NoRequest => return start(core, stream, permit),
+        UnreadRefusal::Sent {
             is_request_complete,
         } => is_request_complete,
     };
     core.metrics.load.turned_away.inc();
-    core.connections.set(core.connections.get() - 1);
-    if !is_request_complete {
-        spawn_local(async move {
-            discard_request(stream).await;
-            drop(permit);
-        });
+    if is_request_complete {
+        return on_ended(core, permit);
     }
+    let core = Rc::clone(core);
+    spawn_local(async move {
+        discard_request(stream).await;
+        on_ended(&core, permit);
+    });
 }
 
 /// Accepts connections until the task is dropped, at most `max_connections` at a time. `on_accepted` gets each with
--- a/crates/relay/src/callers/mod.rs
+++ b/crates/relay/src/callers/mod.rs
@@ -12,5 +12,5 @@
 
 pub use {
     listener::{ConnectionPermit, UnreadConnection, accept, bind, serve},
-    turned_away::{Refusal, discard_request, refuse_unread},
+    turned_away::{UnreadRefusal, discard_request, refuse_unread},
 };
--- a/crates/relay/src/callers/response.rs
+++ b/crates/relay/src/callers/response.rs
@@ -6,7 +6,7 @@
     bytes::Bytes,
     http::{
         HeaderValue, Response, Version,
-        header::{CONTENT_TYPE, RETRY_AFTER},
+        header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER},
         response,
     },
     http_body::{Body, Frame, SizeHint},
@@ -14,9 +14,13 @@
         convert::Infallible,
         pin::Pin,
         task::{Context, Poll},
+        time::Duration,
     },
 };
 
+/// Content type of the errors that the router itself returns.
+const PROBLEM_TYPE: &str = "application/problem+json";
+
 /// The body of a response to a caller.
 pub struct ResponseBody {
     content: Content,
@@ -91,22 +95,41 @@
 /// Creates the error response for a problem.
 #[must_use]
 pub fn problem_response(problem: &Problem) -> Response<ResponseBody> {
-    let code = problem.reason.code();
-    let mut response = Response::new(ResponseBody::buffered(format!("{{\"code\":\"{code}\"}}")));
+    let mut response = Response::new(ResponseBody::buffered(problem_text(problem)));
     *response.status_mut() = problem.reason.status();
     let headers = response.headers_mut();
-    headers.insert(
-        CONTENT_TYPE,
-        HeaderValue::from_static("application/problem+json"),
-    );
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
     if let Some(delay) = problem.retry_after
-        && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64()))
+        && let Ok(value) = HeaderValue::from_str(&seconds(delay))
     {
         headers.insert(RETRY_AFTER, value);
     }
     response
 }
 
+/// Returns the bytes of the error response for a problem, the last one on its connection.
+#[must_use]
+pub fn last_problem_response(problem: &Problem) -> Vec<u8> {
+    let status = problem.reason.status();
+    let text = problem_text(problem);
+    let length = text.len();
+    let retry_after = problem.retry_after.map_or_else(String::new, |delay| {
+        format!("{RETRY_AFTER}: {}\r\n", seconds(delay))
+    });
+    format!(
+        "HTTP/1.1 {status}\r\n{CONTENT_TYPE}: {PROBLEM_TYPE}\r\n{retry_after}{CONTENT_LENGTH}: {length}\r\n{CONNECTION}: close\r\n\r\n{text}"
+    )
+    .into_bytes()
+}
+
+fn problem_text(problem: &Problem) -> String {
+    format!("{{\"code\":\"{}\"}}", problem.reason.code())
+}
+
+fn seconds(delay: Duration) -> String {
+    format!("{:.3}", delay.as_secs_f64())
+}
+
 /// Creates the response from a server's head. Its version is that of the connection to the caller: a server
 /// of HTTP/1.0 would end it without the last chunk that shows that it is complete.
 #[must_use]
--- a/crates/relay/src/callers/turned_away.rs
+++ b/crates/relay/src/callers/turned_away.rs
@@ -1,6 +1,7 @@
 //! Refusals of requests that an overloaded router does not read, at the least cost.
 
 use {
+    super::response::last_problem_response,
     crate::forward::{Problem, Reason, RefusalCause, retry_after},
     http::header::CONTENT_LENGTH,
     httparse::{EMPTY_HEADER, Request, Status},
@@ -19,7 +20,7 @@
 
 /// What has come of a connection that is turned away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
+pub enum UnreadRefusal {
     /// No request has arrived on it.
     NoRequest,
     /// The refusal is sent, or the caller has left.
@@ -31,26 +32,27 @@
 
 /// Refuses the request that has arrived on a connection. It has not run, and its caller may retry at once at another
 /// router. `request` is scratch memory; `random_fraction` in `0.0..1.0` spreads the retries.
-pub fn refuse_unread(stream: &TcpStream, request: &mut Vec<u8>, random_fraction: f64) -> Refusal {
+pub fn refuse_unread(
+    stream: &TcpStream,
+    request: &mut Vec<u8>,
+    random_fraction: f64,
+) -> UnreadRefusal {
     request.resize(MAX_READ_BYTES, 0);
     let length = match read_available(stream, request) {
-        Ok(0) => return Refusal::NoRequest,
+        Ok(0) => return UnreadRefusal::NoRequest,
         Ok(length) => length,
         Err(_) => {
-            return Refusal::Sent {
+            return UnreadRefusal::Sent {
                 is_request_complete: true,
             };
         }
     };
-    let delay = retry_after(
-        RefusalCause::Temporary(RETRY_AFTER),
-        Duration::MAX,
-        random_fraction,
-    );
+    let cause = RefusalCause::Temporary(RETRY_AFTER);
+    let delay = retry_after(cause, Duration::MAX, random_fraction);
     let problem = Problem::with_retry_after(Reason::Overloaded, delay);
     // A caller that does not receive this sees the connection close, as if it had not been accepted.
-    let is_sent = stream.try_write(&response(&problem, delay)).is_ok();
-    Refusal::Sent {
+    let is_sent = stream.try_write(&last_problem_response(&problem)).is_ok();
+    UnreadRefusal::Sent {
         is_request_complete: !is_sent || is_complete(&request[..length]),
     }
 }
@@ -82,18 +84,6 @@
     Ok(length)
 }
 
-fn response(problem: &Problem, delay: Duration) -> Vec<u8> {
-    let code = problem.reason.code();
-    let status = problem.reason.status();
-    let body = format!("{{\"code\":\"{code}\"}}");
-    format!(
-        "HTTP/1.1 {status}\r\ncontent-type: application/problem+json\r\nretry-after: {:.3}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        delay.as_secs_f64(),
-        body.len()
-    )
-    .into_bytes()
-}
-
 /// Whether the bytes are a request with all of its body, as far as its head tells the length.
 fn is_complete(bytes: &[u8]) -> bool {
     let mut headers = [EMPTY_HEADER; MAX_HEADERS];
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,7 +35,7 @@
 mod ticker;
 
 pub use {
-    callers::{ConnectionPermit, Refusal, accept, bind, discard_request, refuse_unread},
+    callers::{ConnectionPermit, UnreadRefusal, accept, bind, discard_request, refuse_unread},
     command::{Command, PeerHost},
     error::RelayError,
     evidence::EvidenceOutbox,
--- a/crates/relay/tests/turned_away.rs
+++ b/crates/relay/tests/turned_away.rs
@@ -1,7 +1,7 @@
 //! Requests that an overloaded router refuses unread.
 
 use {
-    baobab_relay::{Refusal, discard_request, refuse_unread},
+    baobab_relay::{UnreadRefusal, discard_request, refuse_unread},
     std::{
         io::{Read, Write},
         net::{Shutdown, TcpListener, TcpStream},
@@ -11,7 +11,7 @@
 };
 
 /// Sends `request` and has it refused. Returns the refusal, the connection and the caller's end.
-async fn refuse(request: &[u8]) -> (Refusal, tokio::net::TcpStream, TcpStream) {
+async fn refuse(request: &[u8]) -> (UnreadRefusal, tokio::net::TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     caller.write_all(request).unwrap();
@@ -47,7 +47,7 @@
         let (refusal, accepted, mut caller) = refuse(request).await;
         assert_eq!(
             refusal,
-            Refusal::Sent {
+            UnreadRefusal::Sent {
                 is_request_complete
             }
         );
@@ -67,7 +67,7 @@
 async fn a_caller_that_is_still_sending_receives_the_refusal() {
     let request = b"POST /order HTTP/1.1\r\ncontent-length: 100000\r\n\r\n";
     let (refusal, accepted, mut caller) = refuse(request).await;
-    let sent = Refusal::Sent {
+    let sent = UnreadRefusal::Sent {
         is_request_complete: false,
     };
     assert_eq!(refusal, sent);
@@ -83,6 +83,6 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_connection_without_a_request_is_not_refused() {
     let (refusal, accepted, caller) = refuse(b"").await;
-    assert_eq!(refusal, Refusal::NoRequest);
+    assert_eq!(refusal, UnreadRefusal::NoRequest);
     drop((accepted, caller));
 }
