--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod convert;
 mod doubt;
+mod eligibility;
 mod health;
 mod holders;
 mod load;
