--- a/crates/relay/src/load_report.rs
+++ b/crates/relay/src/load_report.rs
@@ -64,6 +64,7 @@
         log::info!(
             idle_percent,
             unread,
+            unread_wait_ms = millis(core.unread.borrow().wait(counters.at)),
             accepted = counters.accepted - last.accepted,
             accept_turns = counters.accept_turns - last.accept_turns,
             turned_away = counters.turned_away - last.turned_away,
